--- /dev/null
+++ b/internal/adapter/adapter.go
@@ -0,0 +1,454 @@
+// Package adapter hosts router instances on the simulator's wire. It decodes
+// records into the module's calls and encodes the answers; it keeps timers and
+// the commands in hand, and decides nothing.
+package adapter
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/wire"
+)
+
+// Serve answers batches from in on out until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	h := &hub{live: map[uint32]*instance{}, lists: map[int][]wire.Entry{}}
+	var buf []byte
+	for frame := 0; ; frame++ {
+		b, err := wire.ReadBatch(in, buf)
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("frame %d: %w", frame, err)
+		}
+		buf = b.Buffer()
+		reply, err := h.answer(b)
+		if err != nil {
+			return fmt.Errorf("frame %d: %w", frame, err)
+		}
+		if _, err := out.Write(reply); err != nil {
+			return fmt.Errorf("frame %d: writing the reply: %w", frame, err)
+		}
+	}
+}
+
+// hub spreads a batch over its instances.
+type hub struct {
+	clock   uint64
+	live    map[uint32]*instance
+	lists   map[int][]wire.Entry
+	touched []*instance
+	cur     *instance
+	curID   uint32
+	named   bool
+	reply   wire.Reply
+}
+
+func (h *hub) answer(b wire.Batch) ([]byte, error) {
+	h.clock, h.cur, h.named, h.touched = b.Clock, nil, false, h.touched[:0]
+	if err := b.Decode(h); err != nil {
+		return nil, err
+	}
+	h.reply.Reset()
+	for _, in := range h.touched {
+		in.finish(&h.reply)
+	}
+	return h.reply.Frame(), nil
+}
+
+// At implements wire.Handler.
+func (h *hub) At(i uint32) error {
+	h.curID, h.named = i, true
+	if h.cur = h.live[i]; h.cur != nil {
+		h.touch(h.cur)
+	}
+	return nil
+}
+
+func (h *hub) touch(in *instance) {
+	if !in.touched {
+		in.touched = true
+		h.touched = append(h.touched, in)
+	}
+	in.now = seconds(int64(h.clock - in.base))
+}
+
+func (h *hub) instance() (*instance, error) {
+	if !h.named {
+		return nil, errors.New("event before any instance was named")
+	}
+	if h.cur == nil {
+		return nil, fmt.Errorf("event for unknown instance %d", h.curID)
+	}
+	return h.cur, nil
+}
+
+// Up implements wire.Handler.
+func (h *hub) Up(seed uint64, raw []byte) error {
+	if !h.named {
+		return errors.New("start before any instance was named")
+	}
+	h.drop()
+	in := newInstance(h.curID, h.clock)
+	site, fields, err := readSite(raw, h.clock)
+	if err == nil {
+		in.fields = fields
+		in.router, err = router.New(site, seed)
+	}
+	if err != nil {
+		in.broken = err.Error()
+	}
+	h.live[h.curID], h.cur = in, in
+	h.touch(in)
+	return nil
+}
+
+// Crash implements wire.Handler.
+func (h *hub) Crash() error {
+	if _, err := h.instance(); err != nil {
+		return err
+	}
+	h.drop()
+	return nil
+}
+
+// drop forgets the current instance and all that it was about to say.
+func (h *hub) drop() {
+	if h.cur != nil {
+		h.cur.dead = true
+		delete(h.live, h.curID)
+		h.cur = nil
+	}
+}
+
+// List implements wire.Handler.
+func (h *hub) List(id int, entries []wire.Entry) error {
+	h.lists[id] = entries
+	return nil
+}
+
+// Modes of an update.
+const (
+	modeDelta = iota
+	modeFull
+	modeCached
+	modeFailed
+)
+
+// Update implements wire.Handler.
+func (h *hub) Update(mode byte, id int) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	if mode > modeFailed {
+		return fmt.Errorf("unknown list mode %d", mode)
+	}
+	if mode == modeFailed {
+		return in.guard(func() { in.router.ListFailed(in.now) })
+	}
+	list, ok := h.lists[id]
+	if !ok {
+		return fmt.Errorf("update names list %d, which was never defined", id)
+	}
+	return in.guard(func() { in.update(list, mode != modeDelta, mode == modeCached) })
+}
+
+// Job implements wire.Handler.
+func (h *hub) Job(a wire.Asked) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	return in.guard(func() { in.job(a) })
+}
+
+// First implements wire.Handler; nothing is streamed here.
+func (h *hub) First(uint32, int) error { _, err := h.instance(); return err }
+
+// Alarm implements wire.Handler; what is due is seen to at the batch's end.
+func (h *hub) Alarm(ref uint32) error {
+	in, err := h.instance()
+	if err == nil && ref == in.alarms {
+		in.alarm = math.Inf(1)
+	}
+	return err
+}
+
+// Expired implements wire.Handler.
+func (h *hub) Expired(id uint32) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	return in.guard(func() { in.expired(id) })
+}
+
+// Closed implements wire.Handler.
+func (h *hub) Closed(e wire.Ended) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	if e.Code >= len(endings) {
+		return fmt.Errorf("unknown outcome %d", e.Code)
+	}
+	return in.guard(func() { in.closed(e) })
+}
+
+// Probed implements wire.Handler.
+func (h *hub) Probed(host wire.Host, code int, took uint64, load []float32) error {
+	in, err := h.instance()
+	if err != nil {
+		return err
+	}
+	return in.guard(func() { in.probed(host, code == 0, took, load) })
+}
+
+// inHand is a command that still has an answer or a dispatch to come.
+type inHand struct {
+	router.Command
+	id    uint32
+	asked float64 // the next time to ask about it
+	done  bool
+}
+
+// due is a time to ask about a command again.
+type due struct {
+	at  float64
+	seq uint64
+	cmd *inHand
+}
+
+type dues []due
+
+func (d dues) Len() int { return len(d) }
+func (d dues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// instance is one router with its timers and commands in hand.
+type instance struct {
+	id      uint32
+	base    uint64
+	now     float64
+	router  *router.Router
+	fields  []string
+	broken  string
+	dead    bool
+	touched bool
+	cmds    map[uint32]*inHand
+	dues    dues
+	seq     uint64
+	alarm   float64
+	alarms  uint32 // number of the alarm that counts
+	hosts   []wire.Host
+	index   map[wire.Host]int
+	sets    map[int]int
+	out     wire.Reply
+}
+
+func newInstance(id uint32, clock uint64) *instance {
+	in := &instance{id: id, base: clock, cmds: map[uint32]*inHand{}, alarm: math.Inf(1),
+		index: map[wire.Host]int{}, sets: map[int]int{}}
+	in.out.Reset()
+	return in
+}
+
+// guard turns a fault of the module into the instance's last words.
+func (in *instance) guard(call func()) error {
+	if in.broken != "" {
+		return nil
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			in.broken = fmt.Sprint("decision code failed: ", p)
+		}
+	}()
+	call()
+	return nil
+}
+
+func (in *instance) update(list []wire.Entry, whole, cached bool) {
+	facts := make([]router.Listing, len(list))
+	for i, e := range list {
+		node, ok := in.index[e.Host]
+		if !ok {
+			node = len(in.hosts)
+			in.index[e.Host] = node
+			in.hosts = append(in.hosts, e.Host)
+		}
+		set, ok := in.sets[e.Cell]
+		if !ok {
+			set = len(in.sets)
+			in.sets[e.Cell] = set
+		}
+		started := math.Inf(-1)
+		if e.Started != 0 {
+			started = seconds(int64(e.Started - in.base))
+		}
+		facts[i] = router.Listing{Node: node, Set: set, Zone: e.Zone, State: router.NodeState(e.State),
+			Weight: e.Weight, Started: started, Primary: e.Primary}
+	}
+	in.router.Listed(in.now, facts, whole, cached)
+}
+
+func (in *instance) job(a wire.Asked) {
+	const repeatMark = 2
+	set, ok := in.sets[a.Cell]
+	if !ok {
+		set = -1
+	}
+	c := &inHand{id: a.ID, Command: router.Command{Group: a.Class, Set: set, Customer: a.Tenant,
+		Session: a.Session, Arrived: in.now, GiveUp: seconds(int64(a.Due - in.base)),
+		WriteAge: a.WriteAge / 1000, Repeat: a.Marks&repeatMark != 0}}
+	in.cmds[a.ID] = c
+	in.carry(c, in.router.Place(in.now, &c.Command))
+}
+
+func (in *instance) expired(id uint32) {
+	if c := in.cmds[id]; c != nil {
+		c.done = true
+		in.release(c)
+	}
+}
+
+// endings translates the wire's outcome codes.
+var endings = [...]router.Ending{router.Answered, router.Errored, router.Full, router.TimedOut,
+	router.Unreached, router.Broken, router.Recalled, router.Moot, router.Missed}
+
+func (in *instance) closed(e wire.Ended) {
+	c := in.cmds[e.ID]
+	if c == nil || e.Leg >= len(c.Legs) || !c.Legs[e.Leg].Out {
+		return
+	}
+	o := router.Outcome{Leg: e.Leg, Ending: endings[e.Code], Took: seconds(int64(e.Took)),
+		Over: e.Over || c.done, Role: router.Role(e.Note & 3), Position: -1}
+	if p := e.Note >> 2; p != 0 {
+		o.Position = float64(p) / 1000
+	}
+	a := in.router.After(in.now, &c.Command, o)
+	c.done = c.done || o.Over
+	if !c.done || a.Recall >= 0 {
+		in.carry(c, a)
+	}
+	in.release(c)
+}
+
+func (in *instance) probed(host wire.Host, ok bool, took uint64, load []float32) {
+	node, known := in.index[host]
+	if !known {
+		return
+	}
+	position, primary := -1.0, false
+	for i, v := range load {
+		if i < len(in.fields) && in.fields[i] == "x0" {
+			position = float64(v)
+		}
+		if i < len(in.fields) && in.fields[i] == "x1" {
+			primary = v == 1
+		}
+	}
+	in.router.Probed(in.now, node, ok, seconds(int64(took)), position, primary)
+}
+
+// release forgets a command with nothing more to come.
+func (in *instance) release(c *inHand) {
+	if !c.done {
+		return
+	}
+	for i := range c.Legs {
+		if c.Legs[i].Out {
+			return
+		}
+	}
+	delete(in.cmds, c.id)
+}
+
+func (in *instance) stamp(at float64) uint64 { return in.base + uint64(math.Round(at/nano)) }
+
+// carry puts one answer on the wire.
+func (in *instance) carry(c *inHand, a router.Answer) {
+	if a.Recall >= 0 {
+		in.out.Recall(c.id, a.Recall)
+	}
+	if c.done {
+		return
+	}
+	switch a.Verdict {
+	case router.Send:
+		in.out.Attempt(c.id, in.hosts[a.Node], in.stamp(a.Until))
+	case router.Throttle:
+		in.out.PushBack(c.id, uint64(a.ComeBack/nano))
+		c.done = true
+	case router.Fail:
+		in.out.Abort(c.id)
+		c.done = true
+	}
+	if c.done {
+		in.release(c)
+		return
+	}
+	if a.Again > 0 {
+		c.asked = a.Again
+		in.seq++
+		heap.Push(&in.dues, due{at: a.Again, seq: in.seq, cmd: c})
+	}
+}
+
+// finish asks about what is due, does the upkeep and sets the next alarm.
+func (in *instance) finish(reply *wire.Reply) {
+	in.touched = false
+	if in.dead {
+		return
+	}
+	_ = in.guard(in.settle)
+	if in.broken != "" {
+		in.out.Reset()
+		in.out.Panic(in.broken)
+	}
+	const header = 4
+	if in.out.Len() > header {
+		reply.As(in.id)
+		reply.Append(&in.out)
+		in.out.Reset()
+	}
+}
+
+func (in *instance) settle() {
+	for len(in.dues) > 0 && in.dues[0].at <= in.now {
+		d := heap.Pop(&in.dues).(due)
+		if !d.cmd.done && d.cmd.asked == d.at {
+			in.carry(d.cmd, in.router.Place(in.now, &d.cmd.Command))
+		}
+	}
+	pause, keep := in.router.Wait(in.now)
+	for _, node := range keep.Probe {
+		in.out.Check(in.hosts[node])
+	}
+	if keep.Follow {
+		in.out.Follow()
+	}
+	next := in.now + pause
+	if len(in.dues) > 0 {
+		next = math.Min(next, in.dues[0].at)
+	}
+	if next < in.alarm {
+		in.alarm = next
+		in.alarms++
+		in.out.Alarm(uint64(math.Max(0, math.Ceil((next-in.now)/nano))), in.alarms)
+	}
+}
--- /dev/null
+++ b/internal/adapter/site.go
@@ -0,0 +1,107 @@
+package adapter
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"stoatdale.example/stoatdale/internal/router"
+)
+
+const nano = 1e-9
+
+// params is the part of the start message that the module reads.
+type params struct {
+	Routers int `json:"balancers"`
+	Classes []struct {
+		Effect string  `json:"effect"`
+		Scope  string  `json:"keyScope"`
+		Target float64 `json:"targetNs"`
+		Limit  float64 `json:"deadlineNs"`
+		Worth  float64 `json:"worth"`
+		Late   float64 `json:"lateWorth"`
+		Memory float64 `json:"memorySpanNs"`
+	} `json:"classes"`
+	Tenants []struct {
+		Rate float64 `json:"quotaRps"`
+	} `json:"tenants"`
+	OverShare float64 `json:"overShareWorth"`
+	Tick      float64 `json:"tickNs"`
+	Discovery string  `json:"discovery"`
+	Family    struct {
+		Zero      float64   `json:"zeroNs"`
+		Tokens    string    `json:"tokens"`
+		Guards    string    `json:"guards"`
+		Positions bool      `json:"tellsPosition"`
+		Needs     []string  `json:"needsByClass"`
+		Bounds    []float64 `json:"classBoundNs"`
+	} `json:"familyInfo"`
+	Load struct {
+		Source string   `json:"source"`
+		Fields []string `json:"fields"`
+	} `json:"loadInfo"`
+	Limits struct {
+		Cancel    bool    `json:"cancel"`
+		Copies    bool    `json:"secondCopies"`
+		Probes    bool    `json:"probes"`
+		Advice    bool    `json:"retryAfter"`
+		MaxAdvice float64 `json:"maxRetryAfterNs"`
+		Tries     int     `json:"mostTries"`
+		Dial      float64 `json:"dialTimeoutNs"`
+	} `json:"limits"`
+	Rules struct {
+		AskWithin float64 `json:"askWithinNs"`
+		Soft      bool    `json:"softRemoval"`
+		Cold      float64 `json:"startCapacity"`
+		Warm      float64 `json:"rampTimeNs"`
+		Overload  float64 `json:"overloadFactor"`
+		Fall      float64 `json:"fallNs"`
+		Grace     float64 `json:"stopSendingWithinNs"`
+	} `json:"invariants"`
+}
+
+// readSite decodes the start message. base is the instance's start in nanoseconds.
+func readSite(raw []byte, base uint64) (router.Site, []string, error) {
+	var p params
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return router.Site{}, nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(p.Classes) == 0 {
+		return router.Site{}, nil, errors.New("settings: classes is missing or empty")
+	}
+	if len(p.Family.Needs) != len(p.Classes) {
+		return router.Site{}, nil, fmt.Errorf("settings: familyInfo.needsByClass holds %d of %d classes",
+			len(p.Family.Needs), len(p.Classes))
+	}
+	s := router.Site{
+		Routers: p.Routers, OverShare: p.OverShare, Tick: p.Tick * nano,
+		ZeroAt: seconds(int64(p.Family.Zero) - int64(base)),
+		Tokens: p.Family.Tokens, Guards: p.Family.Guards, Positions: p.Family.Positions,
+		Ask: p.Discovery == "ask", AskWithin: p.Rules.AskWithin * nano, SoftRemoval: p.Rules.Soft,
+		Cancel: p.Limits.Cancel, Copies: p.Limits.Copies, Probes: p.Limits.Probes,
+		Advice: p.Limits.Advice, MaxAdvice: p.Limits.MaxAdvice * nano,
+		Tries: p.Limits.Tries, Dial: p.Limits.Dial * nano,
+		ColdShare: p.Rules.Cold, WarmIn: p.Rules.Warm * nano, Overload: p.Rules.Overload,
+		FallSpan: p.Rules.Fall * nano, Grace: p.Rules.Grace * nano,
+	}
+	for i, c := range p.Classes {
+		g := router.CommandGroup{Need: p.Family.Needs[i], Effect: c.Effect, Scope: c.Scope,
+			Target: c.Target * nano, Timeout: c.Limit * nano, Benefit: c.Worth, Late: c.Late,
+			Memory: c.Memory * nano}
+		if i < len(p.Family.Bounds) {
+			g.Bound = p.Family.Bounds[i] * nano
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	for _, t := range p.Tenants {
+		s.Customers = append(s.Customers, t.Rate)
+	}
+	told := map[string]bool{}
+	for _, f := range p.Load.Fields {
+		told[f] = true
+	}
+	s.Reports = p.Load.Source != "none" && told["x0"] && told["x1"]
+	return s, p.Load.Fields, nil
+}
+
+func seconds(ns int64) float64 { return float64(ns) * nano }
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,901 @@
+// Package router decides where each command of a sharded, replicated database goes.
+//
+// How it is called: New takes a Site and a seed. Place answers where to send a command (or not
+// yet, or never), After what to do once a dispatch has ended, Wait how long until the next look
+// and which upkeep is due. Listed, ListFailed and Probed feed facts in. All values that go in or
+// out are plain and stand in types.go; times are seconds on one clock, ids are small indices.
+// The caller keeps timers and commands in hand and decides nothing. docs/design.md has the why.
+package router
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Tuned values: shares and multiples of what the site states or the router sees.
+const (
+	spillShare   = 0.2     // of this router's reads in the last second may go to the primary
+	spillSpan    = 1.0     // that second
+	spillSlots   = 10      // in which it is counted
+	catchUp      = 0.1     // seconds that a read waits for a replica
+	pollShare    = 0.05    // of catchUp between two looks at a waiting command
+	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
+	lowCut       = 0.4     // of its target that the least beneficial group may spend on queues
+	overCut      = 0.2     // the same beyond a customer's share
+	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
+	memorySpan   = 4       // longest response targets over which a node's record fades
+	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
+	quietAlone   = 4.0     // and as many more, shared by the dispatches out at it
+	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
+	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
+	groupWeight  = 0.05    // of one answer in its command group's mean work
+	coldMargin   = 1.0     // of a warm node's rate, scaled by the cold one's capacity, sent to it
+	coldBurst    = 0.25    // of the fall span whose budget may be spent at once
+	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
+	sessionSpans = 8       // longest client timeouts after which they are let go as well
+	askShare     = 0.0625  // of the asking rule's span before a failed list call is repeated
+	testShare    = 0.25    // of the longest target between two role tests of one member
+	roundOff     = 1.0 / (1 << 23)
+)
+
+// need is what the data of a command group must cover.
+type need int
+
+const (
+	needWrite need = iota
+	needCurrent
+	needSession
+	needBound
+	needAny
+)
+
+var needs = map[string]need{"mutate": needWrite, "strong": needCurrent, "causal": needSession,
+	"lag_bound": needBound, "eventual": needAny}
+
+type effect int
+
+const (
+	replayable effect = iota
+	keyed
+	mutating
+)
+
+var effects = map[string]effect{"pure": replayable, "token": keyed, "side_effect": mutating}
+
+// group is a command group's row.
+type group struct {
+	need                                          need
+	effect                                        effect
+	scope                                         string
+	target, timeout, benefit, late, bound, memory float64
+	work                                          float64 // mean time of an answer from an idle node
+	cut, primaryCut                               float64 // shares of the target that queues may take
+}
+
+// node is what this router knows of a member.
+type node struct {
+	set, zone         int
+	listed            bool
+	drains            bool
+	listPrimary       bool
+	weight            float64
+	started           float64
+	heardAt, pos      float64 // last sign with a position, and the highest position told
+	lag               float64 // how far behind it was then
+	role              Role    // by its own word
+	roleAt            float64
+	out               int
+	since             float64 // last answer, or the first dispatch out after none were
+	fadedAt           float64
+	lat, places, done float64 // fading sums over answers: time, places in its queue, number
+	bad, all          float64 // fading sums: failures, outcomes
+	sent              float64 // fading number of dispatches
+	lastBad, lastGood float64
+	trialAt, testAt   float64
+	probing           bool
+	probedAt          float64
+	budget, budgetAt  float64 // dispatches that a cold node may still get
+	unreached         bool    // its last sign was a failed connection
+}
+
+// set is the nodes that hold the same data.
+type set struct {
+	nodes []int
+	floor float64 // the highest position owed to a session that was let go
+}
+
+// session is a session's two positions.
+type session struct{ token, seen float64 }
+
+// Router is one router's knowledge.
+type Router struct {
+	site     Site
+	groups   []group
+	nodes    []node
+	sets     []set
+	z, w     uint32
+	span     float64 // the longest response target
+	fade     float64 // over which records fade
+	pace     float64 // between two looks at a node
+	poll     float64
+	lat      float64 // fleet's mean answer time, and per place
+	cost     float64
+	median   float64 // fleet's median share of failures
+	warmRate float64 // dispatches a second that a warm node gets from this router
+	waitedAt float64
+	// Sessions in two generations: the older is dropped whole, and raises its sets' floors.
+	young, old     map[uint64]session
+	youngTop       []float64
+	oldTop         []float64
+	turnedAt       float64
+	reads, spills  [spillSlots]float64
+	slotAt         int64
+	customers      []float64 // what is left of each customer's share
+	customersAt    []float64
+	followAt       float64
+	following      bool
+	followFailures float64
+	spare          []int
+}
+
+// New returns a router that knows nothing but its site.
+func New(s Site, seed uint64) (*Router, error) {
+	r := &Router{site: s, z: uint32(seed) | 1, w: uint32(seed>>32) | 1, young: map[uint64]session{},
+		old: map[uint64]session{}, waitedAt: math.Inf(-1)}
+	if s.Tokens != "brought" && s.Tokens != "kept" {
+		return nil, fmt.Errorf("settings: familyInfo.tokens: unknown word %q", s.Tokens)
+	}
+	if s.Guards != "none" && s.Guards != "bounce" && s.Guards != "await" {
+		return nil, fmt.Errorf("settings: familyInfo.guards: unknown word %q", s.Guards)
+	}
+	r.pace = math.Inf(1)
+	for i, g := range s.Groups {
+		n, ok := needs[g.Need]
+		if !ok {
+			return nil, fmt.Errorf("settings: familyInfo.needsByClass[%d]: unknown word %q", i, g.Need)
+		}
+		e, ok := effects[g.Effect]
+		if !ok {
+			return nil, fmt.Errorf("settings: classes[%d].effect: unknown word %q", i, g.Effect)
+		}
+		if e == keyed && g.Scope != "cell" && g.Scope != "zone" && g.Scope != "all" {
+			return nil, fmt.Errorf("settings: classes[%d].keyScope: unknown word %q", i, g.Scope)
+		}
+		if g.Target <= 0 || g.Timeout <= 0 {
+			return nil, fmt.Errorf("settings: classes[%d]: targetNs and deadlineNs must be above 0", i)
+		}
+		r.groups = append(r.groups, group{need: n, effect: e, scope: g.Scope, target: g.Target,
+			timeout: g.Timeout, benefit: g.Benefit, late: g.Late, bound: g.Bound, memory: g.Memory,
+			cut: 1, primaryCut: 1})
+		r.span = math.Max(r.span, g.Target)
+		if n == needBound {
+			r.pace = math.Min(r.pace, probeShare*g.Bound)
+		}
+		if n == needSession {
+			r.pace = math.Min(r.pace, probeShare*g.Target)
+		}
+	}
+	r.site.Routers = max(1, s.Routers)
+	r.site.Tries = max(1, s.Tries)
+	r.pace = math.Max(s.Tick, math.Min(r.pace, probeShare*r.span))
+	r.poll = math.Max(s.Tick, pollShare*catchUp)
+	r.fade = memorySpan * r.span
+	r.customers = make([]float64, len(s.Customers))
+	r.customersAt = make([]float64, len(s.Customers))
+	return r, nil
+}
+
+// chance draws from [0, n) with a multiply-with-carry generator.
+func (r *Router) chance(n int) int {
+	r.z = 36969*(r.z&0xffff) + r.z>>16
+	r.w = 18000*(r.w&0xffff) + r.w>>16
+	return int((r.z<<16 + r.w) % uint32(n))
+}
+
+// Listed takes in the list: the whole of it or only what changed.
+func (r *Router) Listed(now float64, list []Listing, whole, cached bool) {
+	if !cached {
+		r.following, r.followFailures = true, 0
+	}
+	if whole {
+		for i := range r.nodes {
+			r.nodes[i].listed = r.nodes[i].listed && r.site.SoftRemoval
+		}
+	}
+	for _, l := range list {
+		for len(r.nodes) <= l.Node {
+			r.nodes = append(r.nodes, node{set: -1, pos: math.Inf(-1), heardAt: math.Inf(-1),
+				roleAt: math.Inf(-1), lastBad: math.Inf(-1), lastGood: math.Inf(-1),
+				started: math.Inf(-1), probedAt: math.Inf(-1), testAt: math.Inf(-1)})
+		}
+		for len(r.sets) <= l.Set {
+			r.sets = append(r.sets, set{floor: math.Inf(-1)})
+			r.youngTop = append(r.youngTop, math.Inf(-1))
+			r.oldTop = append(r.oldTop, math.Inf(-1))
+		}
+		n := &r.nodes[l.Node]
+		if n.set != l.Set {
+			if n.set >= 0 {
+				old := &r.sets[n.set]
+				old.nodes = slices.DeleteFunc(old.nodes, func(i int) bool { return i == l.Node })
+			}
+			n.set = l.Set
+			r.sets[l.Set].nodes = append(r.sets[l.Set].nodes, l.Node)
+		}
+		n.zone, n.weight, n.listPrimary = l.Zone, l.Weight, l.Primary
+		n.listed = l.State != Gone || r.site.SoftRemoval
+		n.drains = l.State == Draining || n.drains && l.State == Gone
+		n.started = math.Max(n.started, l.Started)
+	}
+}
+
+// ListFailed says that a list call failed; nothing tells which. The next one waits, twice as
+// long each time, so that the list service is not flooded when it can least bear it.
+func (r *Router) ListFailed(now float64) {
+	r.following = false
+	gap := askShare * r.site.AskWithin
+	r.followFailures++
+	r.followAt = now + math.Min(gap*math.Exp2(r.followFailures-1), r.site.AskWithin/2)*(1+r.unit())/2
+}
+
+func (r *Router) unit() float64 { return float64(r.chance(1<<16)) / (1 << 16) }
+
+// Probed takes in a probe's result. Only its report speaks for the node's data.
+func (r *Router) Probed(now float64, at int, ok bool, took, position float64, primary bool) {
+	n := &r.nodes[at]
+	n.probing = false
+	if !ok {
+		r.blame(now, n)
+		n.unreached = true
+		return
+	}
+	r.revive(now, n)
+	if position < 0 || !r.site.Reports {
+		return
+	}
+	position *= 1 - roundOff
+	role := RoleReplica
+	seenAt := now - took
+	if primary {
+		role = RolePrimary
+		seenAt = r.site.ZeroAt + position
+	}
+	r.tell(n, seenAt, position, role)
+}
+
+// tell notes a position and a role that held at a time.
+func (r *Router) tell(n *node, at, position float64, role Role) {
+	if position >= 0 {
+		p := r.site.ZeroAt + position
+		n.pos = math.Max(n.pos, p)
+		if at > n.heardAt {
+			n.heardAt, n.lag = at, math.Max(0, at-p)
+		}
+	}
+	if role != RoleUnknown && at >= n.roleAt {
+		n.role, n.roleAt = role, at
+	}
+}
+
+// revive sees a node that could not be reached answer again: it may have started anew, before
+// any list says so, and is treated as cold from here. Harm: a mere broken link costs it a while.
+func (r *Router) revive(now float64, n *node) {
+	if n.unreached {
+		n.unreached = false
+		n.started = math.Max(n.started, math.Min(now, n.lastBad))
+	}
+}
+
+// Place answers where to send a command, or not yet, or never.
+func (r *Router) Place(now float64, c *Command) Answer {
+	g := &r.groups[c.Group]
+	if !c.asked {
+		r.admit(now, c, g)
+	}
+	for i := range c.Legs {
+		if c.Legs[i].Out {
+			return r.review(now, c, g, i)
+		}
+	}
+	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
+		!r.mayGoAgain(now, c, g) {
+		return r.never(now, c, g)
+	}
+	at, kind := r.choose(now, c, g)
+	if at < 0 {
+		if now+r.least(g) > r.horizon(c, g) {
+			return r.never(now, c, g)
+		}
+		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
+	}
+	return r.send(now, c, g, at, kind)
+}
+
+// admit notes what a command needs when it is first seen.
+func (r *Router) admit(now float64, c *Command, g *group) {
+	c.asked = true
+	c.need = math.Inf(-1)
+	if g.need == needSession {
+		s, ok := r.young[c.Session]
+		if !ok {
+			s, ok = r.old[c.Session]
+		}
+		if ok {
+			c.need = math.Max(s.token, s.seen)
+		}
+		if c.Set >= 0 && c.Set < len(r.sets) {
+			c.need = math.Max(c.need, r.sets[c.Set].floor)
+		}
+		if r.site.Tokens == "brought" && c.WriteAge > 0 {
+			c.need = math.Max(c.need, c.Arrived-c.WriteAge)
+		}
+	}
+	if c.Customer >= 0 && c.Customer < len(r.customers) {
+		rate := r.site.Customers[c.Customer] / float64(r.site.Routers)
+		left := &r.customers[c.Customer]
+		*left = math.Min(rate*r.span, *left+rate*(now-r.customersAt[c.Customer]))
+		r.customersAt[c.Customer] = now
+		if c.over = *left < 1 && rate > 0; !c.over {
+			*left--
+		}
+	}
+}
+
+// horizon is how long a command is worth having: its target, and with late benefit a part of
+// the time after it.
+func (r *Router) horizon(c *Command, g *group) float64 {
+	end := c.Arrived + g.target
+	if g.late > 0 && c.GiveUp > end {
+		end += g.late * (c.GiveUp - end)
+	}
+	return math.Min(end, c.GiveUp)
+}
+
+// least is the time that an answer takes at best.
+func (r *Router) least(g *group) float64 { return g.work * (1 - crowdSlack) }
+
+// mayGoAgain keeps rule 2: a repeat only of what is known not to have run, or within bounds.
+func (r *Router) mayGoAgain(now float64, c *Command, g *group) bool {
+	if !c.ran || g.effect == replayable {
+		return true
+	}
+	// A connection may still have to be made, so a repeat must leave by that much earlier.
+	return g.effect == keyed && now+r.site.Dial+r.site.Tick < c.ranAt+g.memory
+}
+
+// never is the final answer of a command given up: throttled where a retry does no harm.
+func (r *Router) never(now float64, c *Command, g *group) Answer {
+	if c.ran && (g.effect == mutating || g.effect == keyed && g.scope != "all") {
+		return Answer{Verdict: Fail, Recall: -1}
+	}
+	a := Answer{Verdict: Throttle, Recall: -1}
+	if r.site.Advice {
+		a.ComeBack = math.Min(g.target, r.site.MaxAdvice)
+	}
+	return a
+}
+
+// usable says whether rule 3 lets anything new go to a node.
+func (n *node) usable() bool { return n.listed && !n.drains }
+
+// choose picks a node, or -1. kind tells a trial and a read spilled onto the primary.
+func (r *Router) choose(now float64, c *Command, g *group) (int, Leg) {
+	switch g.need {
+	case needWrite:
+		return r.chooseWriter(now, c, g), Leg{}
+	case needCurrent:
+		if p := r.primary(c.Set); p >= 0 && !r.doubted(now, p) {
+			return r.fit(now, c, g, p, g.primaryCut), Leg{}
+		}
+		at, trial := r.pick(now, c, g, c.Arrived)
+		return at, Leg{trial: trial}
+	case needBound:
+		c.need = now - g.bound
+	}
+	at, trial := r.pick(now, c, g, c.need)
+	if at >= 0 {
+		return at, Leg{trial: trial}
+	}
+	if r.crowded(now, c, c.need) {
+		return -1, Leg{}
+	}
+	p := r.primary(c.Set)
+	open := p >= 0 && !r.doubted(now, p)
+	if open && r.maySpill(now) {
+		if at := r.fit(now, c, g, p, g.primaryCut); at >= 0 {
+			return at, Leg{spilled: true}
+		}
+	}
+	if r.site.Guards != "none" && !c.missed {
+		if at := r.leastBehind(now, c, g); at >= 0 {
+			return at, Leg{}
+		}
+	}
+	if open && (c.missed || now-c.Arrived >= catchUp) {
+		return r.fit(now, c, g, p, g.primaryCut), Leg{spilled: true}
+	}
+	return -1, Leg{}
+}
+
+// primary is the member whose own word for being the primary is the newest; the list counts
+// only for a member that was never heard, since it may be seconds late or frozen.
+func (r *Router) primary(s int) int {
+	best := -1
+	for _, i := range r.sets[s].nodes {
+		n := &r.nodes[i]
+		if n.usable() && n.role == RolePrimary && (best < 0 || n.roleAt > r.nodes[best].roleAt) {
+			best = i
+		}
+	}
+	for _, i := range r.sets[s].nodes {
+		n := &r.nodes[i]
+		if best < 0 && n.usable() && n.listPrimary && n.role == RoleUnknown {
+			best = i
+		}
+	}
+	return best
+}
+
+// chooseWriter sends a write to the primary; with none known it tests members, since a miss is
+// harmless and comes at once.
+func (r *Router) chooseWriter(now float64, c *Command, g *group) int {
+	p := r.primary(c.Set)
+	if p >= 0 && !r.doubted(now, p) {
+		return r.fit(now, c, g, p, g.primaryCut)
+	}
+	if len(c.Legs) >= r.site.Tries-1 {
+		return -1
+	}
+	r.spare = r.spare[:0]
+	for _, i := range r.sets[c.Set].nodes {
+		n := &r.nodes[i]
+		if n.usable() && i != p && !r.doubted(now, i) && now >= n.testAt &&
+			now-n.roleAt > testShare*r.span && r.coldRoom(now, i) {
+			r.spare = append(r.spare, i)
+		}
+	}
+	if len(r.spare) == 0 {
+		return -1
+	}
+	at := r.spare[r.chance(len(r.spare))]
+	r.nodes[at].testAt = now + testShare*r.span
+	return at
+}
+
+// pick spreads reads uniformly over the replicas that cover a position. Who qualifies is
+// narrowed to those that answer (a hung one keeps its position) and are not crowded.
+func (r *Router) pick(now float64, c *Command, g *group, need float64) (int, bool) {
+	p := r.primary(c.Set)
+	r.spare = r.spare[:0]
+	trial, best := -1, math.Inf(1)
+	for _, i := range r.sets[c.Set].nodes {
+		n := &r.nodes[i]
+		if i == p || !n.usable() || n.pos < need || !r.coldRoom(now, i) {
+			continue
+		}
+		if r.doubted(now, i) {
+			if now >= n.trialAt && n.out == 0 && !n.unreached && g.effect == replayable {
+				trial = i
+			}
+			continue
+		}
+		r.spare = append(r.spare, i)
+		best = math.Min(best, r.sojourn(i, g))
+	}
+	if trial >= 0 && now-c.Arrived < crowdSlack*g.target {
+		return trial, true
+	}
+	if len(r.spare) == 0 || !r.fits(now, c, g, best, g.cut) {
+		return -1, false
+	}
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
+		return r.sojourn(i, g) > best+crowdSlack*g.target
+	})
+	return r.spare[r.chance(len(r.spare))], false
+}
+
+// crowded says that replicas cover the position and have no room: the primary is not for that.
+func (r *Router) crowded(now float64, c *Command, need float64) bool {
+	p := r.primary(c.Set)
+	for _, i := range r.sets[c.Set].nodes {
+		if n := &r.nodes[i]; i != p && n.usable() && n.pos >= need && !r.doubted(now, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// leastBehind serves sites whose replicas check reads themselves.
+func (r *Router) leastBehind(now float64, c *Command, g *group) int {
+	p := r.primary(c.Set)
+	r.spare = r.spare[:0]
+	least := math.Inf(1)
+	for _, i := range r.sets[c.Set].nodes {
+		n := &r.nodes[i]
+		if i == p || !n.usable() || r.doubted(now, i) || !r.coldRoom(now, i) {
+			continue
+		}
+		r.spare = append(r.spare, i)
+		if !math.IsInf(n.pos, -1) {
+			least = math.Min(least, n.lag)
+		}
+	}
+	best := math.Inf(1)
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
+		n := &r.nodes[i]
+		far := !math.IsInf(least, 1) && (math.IsInf(n.pos, -1) || n.lag > least+catchUp/2)
+		if !far {
+			best = math.Min(best, r.sojourn(i, g))
+		}
+		return far
+	})
+	if len(r.spare) == 0 || !r.fits(now, c, g, best, g.cut) {
+		return -1
+	}
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
+		return r.sojourn(i, g) > best+crowdSlack*g.target
+	})
+	return r.spare[r.chance(len(r.spare))]
+}
+
+// fit returns a node if it has room for the command in time, else -1.
+func (r *Router) fit(now float64, c *Command, g *group, at int, cut float64) int {
+	if !r.coldRoom(now, at) || !r.fits(now, c, g, r.sojourn(at, g), cut) {
+		return -1
+	}
+	return at
+}
+
+// fits sheds by benefit: a group may spend only its share of the target on queues, so that what
+// carries more benefit still finds room, and nothing is sent that comes too late anyway.
+func (r *Router) fits(now float64, c *Command, g *group, sojourn, cut float64) bool {
+	if c.over {
+		cut = overCut
+	}
+	queue := sojourn - g.work
+	return queue <= cut*(g.target-g.work) && now+sojourn <= r.horizon(c, g) || queue <= 0
+}
+
+// sojourn foretells a node's answer time by its own pace: time per place in its queue, as this
+// router's dispatches out show the queue. It needs no word from the other routers.
+func (r *Router) sojourn(at int, g *group) float64 {
+	n := &r.nodes[at]
+	cost := (n.lat + priorWeight*r.cost) / (n.places + priorWeight)
+	return math.Max(g.work, cost*float64(n.out+1))
+}
+
+// doubted says that a node takes work and answers none, or fails more than the fleet does.
+// A hung node keeps its last position and would go on qualifying.
+func (r *Router) doubted(now float64, at int) bool {
+	n := &r.nodes[at]
+	r.fadeNode(now, n)
+	if n.out > 0 && now-n.since > r.patience(n) {
+		return true
+	}
+	return n.bad/(n.all+1) > r.median+failMargin
+}
+
+// patience is how long a node with dispatches out may stay silent.
+func (r *Router) patience(n *node) float64 {
+	mean := (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
+	if mean == 0 {
+		mean = testShare * r.span
+	}
+	return mean * (quietBase + quietAlone/float64(max(1, n.out)))
+}
+
+func (r *Router) fadeNode(now float64, n *node) {
+	if now > n.fadedAt {
+		f := math.Exp((n.fadedAt - now) / r.fade)
+		n.lat, n.places, n.done, n.bad, n.all, n.sent = n.lat*f, n.places*f, n.done*f, n.bad*f, n.all*f, n.sent*f
+		n.fadedAt = now
+	}
+}
+
+func (r *Router) blame(now float64, n *node) {
+	r.fadeNode(now, n)
+	n.bad++
+	n.all++
+	n.lastBad = now
+	n.trialAt = now + r.span
+}
+
+// coldRoom keeps rule 4: a node that has just started gets its share of what a warm one gets
+// from this router, as far as its capacity has grown at the slowest. All routers do the same.
+func (r *Router) coldRoom(now float64, at int) bool {
+	n := &r.nodes[at]
+	age := now - n.started
+	if age >= r.site.WarmIn {
+		return true
+	}
+	part := r.site.ColdShare + (1-r.site.ColdShare)*math.Max(0, age)/r.site.WarmIn
+	rate := math.Max(coldMargin*part*r.warmRate, 1/r.site.FallSpan/float64(r.site.Routers))
+	most := math.Max(1, rate*r.site.FallSpan*coldBurst)
+	n.budget = math.Min(most, n.budget+rate*math.Max(0, now-n.budgetAt))
+	n.budgetAt = now
+	return n.budget >= 1
+}
+
+// maySpill keeps reads on the primary to one in five of the last second's.
+func (r *Router) maySpill(now float64) bool {
+	r.turnSlots(now)
+	var reads, spills float64
+	for i := range r.reads {
+		reads += r.reads[i]
+		spills += r.spills[i]
+	}
+	return spills+1 <= spillShare*(reads+1)
+}
+
+func (r *Router) turnSlots(now float64) {
+	at := int64(math.Floor(now / spillSpan * spillSlots))
+	for k := max(r.slotAt+1, at-spillSlots+1); k <= at; k++ {
+		r.reads[k%spillSlots], r.spills[k%spillSlots] = 0, 0
+	}
+	r.slotAt = max(r.slotAt, at)
+}
+
+// send books a dispatch.
+func (r *Router) send(now float64, c *Command, g *group, at int, kind Leg) Answer {
+	n := &r.nodes[at]
+	if n.out == 0 {
+		n.since = now
+	}
+	kind.Node, kind.Sent, kind.Out, kind.ahead = at, now, true, n.out
+	r.fadeNode(now, n)
+	n.out++
+	n.sent++
+	n.budget = math.Max(0, n.budget-1)
+	if kind.trial {
+		n.trialAt = now + r.span
+	}
+	if g.need != needWrite && len(c.Legs) == 0 {
+		r.turnSlots(now)
+		r.reads[r.slotAt%spillSlots]++
+		if kind.spilled {
+			r.spills[r.slotAt%spillSlots]++
+		}
+	}
+	c.Legs = append(c.Legs, kind)
+	until := c.GiveUp
+	if g.effect == replayable && g.late == 0 {
+		until = math.Min(until, c.Arrived+g.target)
+	}
+	return Answer{Verdict: Send, Node: at, Until: until, Again: now + r.patience(n), Recall: -1}
+}
+
+// review looks at a dispatch that is still out. One that is overdue counts against its node
+// (else a hang is never seen); one at a doubted node is called off where a repeat is allowed.
+func (r *Router) review(now float64, c *Command, g *group, i int) Answer {
+	l := &c.Legs[i]
+	n := &r.nodes[l.Node]
+	wait := r.patience(n)
+	a := Answer{Verdict: Hold, Again: now + wait/2, Recall: -1}
+	if now-l.Sent > wait && !l.late && now-n.since > wait {
+		l.late = true
+		r.blame(now, n)
+	}
+	if r.site.Cancel && !l.recall && g.effect != mutating && len(c.Legs) < r.site.Tries &&
+		(l.late || l.trial && now-l.Sent > wait) && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
+		l.recall = true
+		a.Recall = i
+	}
+	return a
+}
+
+// elsewhere says whether another member may take a command that is called off.
+func (r *Router) elsewhere(now float64, c *Command, g *group, at int) bool {
+	if g.need == needWrite {
+		p := r.primary(c.Set)
+		return p >= 0 && p != at && !r.doubted(now, p)
+	}
+	for _, i := range r.sets[c.Set].nodes {
+		if i != at && r.nodes[i].usable() && !r.doubted(now, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// After takes in how a dispatch ended and says what to do.
+func (r *Router) After(now float64, c *Command, o Outcome) Answer {
+	g := &r.groups[c.Group]
+	l := &c.Legs[o.Leg]
+	n := &r.nodes[l.Node]
+	l.Out = false
+	n.out--
+	r.fadeNode(now, n)
+	switch o.Ending {
+	case Answered, Errored, Full, Missed:
+		n.since = now
+		r.revive(now, n)
+		position := o.Position
+		if g.need == needWrite && o.Ending == Answered {
+			position = -1 // the commit's, not the node's
+		}
+		r.tell(n, now, position, o.Role)
+	}
+	switch o.Ending {
+	case Answered:
+		r.learn(now, c, g, n, l, o)
+	case Errored, Broken, TimedOut, Unreached:
+		if !l.late {
+			r.blame(now, n)
+		}
+		n.unreached = n.unreached || o.Ending == Unreached
+		if o.Ending == TimedOut {
+			r.measure(n, l, o.Took)
+		}
+	case Recalled:
+		r.measure(n, l, o.Took)
+	case Full:
+		n.all++
+		r.measure(n, l, math.Max(o.Took, g.target))
+	case Missed:
+		n.all++
+		c.missed = c.missed || g.need != needWrite
+		if o.Role == RoleUnknown && g.need == needWrite {
+			r.tell(n, now, -1, RoleReplica)
+		}
+	}
+	switch o.Ending {
+	case Errored, Broken, TimedOut, Recalled:
+		if !c.ran {
+			c.ran, c.ranAt, c.ranOn = true, l.Sent, l.Node
+		}
+	}
+	a := Answer{Verdict: Done, Recall: -1}
+	if o.Over {
+		for i := range c.Legs {
+			if c.Legs[i].Out && !c.Legs[i].recall && r.site.Cancel {
+				c.Legs[i].recall = true
+				a.Recall = i
+			}
+		}
+		return a
+	}
+	return r.Place(now, c)
+}
+
+// measure adds an answer time, or the least that it would have been.
+func (r *Router) measure(n *node, l *Leg, took float64) {
+	n.lat += took
+	n.places += float64(l.ahead + 1)
+	n.done++
+}
+
+// learn takes in an answer: the node's health and pace, the session's positions.
+func (r *Router) learn(now float64, c *Command, g *group, n *node, l *Leg, o Outcome) {
+	r.measure(n, l, o.Took)
+	if n.lastBad > n.lastGood {
+		n.bad /= 2
+	}
+	n.all++
+	n.lastGood = now
+	if g.work == 0 {
+		g.work = o.Took
+	}
+	if l.ahead <= 1 {
+		g.work += groupWeight * (o.Took - g.work)
+	}
+	r.lat += groupWeight * (o.Took - r.lat)
+	r.cost += groupWeight * (o.Took/float64(l.ahead+1) - r.cost)
+	if c.Session == 0 || g.need != needWrite && g.need != needSession {
+		return
+	}
+	at := now
+	if o.Position >= 0 {
+		at = r.site.ZeroAt + o.Position
+	} else if g.need != needWrite {
+		return
+	}
+	s, ok := r.young[c.Session]
+	if !ok {
+		s, ok = r.old[c.Session]
+	}
+	if !ok {
+		s = session{token: math.Inf(-1), seen: math.Inf(-1)}
+	}
+	if g.need == needWrite {
+		s.token = math.Max(s.token, at)
+	} else {
+		s.seen = math.Max(s.seen, at)
+	}
+	r.young[c.Session] = s
+	r.youngTop[c.Set] = math.Max(r.youngTop[c.Set], at)
+}
+
+// Wait says how long until the next look, and what upkeep is due now.
+func (r *Router) Wait(now float64) (float64, Upkeep) {
+	var up Upkeep
+	if r.site.Ask && !r.following && now >= r.followAt {
+		up.Follow = true
+		r.followAt = now + r.site.AskWithin/2
+	}
+	if now-r.waitedAt < r.pace/2 {
+		return r.waitedAt + r.pace/2 - now, up
+	}
+	r.waitedAt = now
+	r.weigh(now)
+	r.forget(now)
+	if r.site.Probes {
+		for i := range r.nodes {
+			if r.probeDue(now, i) {
+				n := &r.nodes[i]
+				n.probing, n.probedAt = true, now
+				up.Probe = append(up.Probe, i)
+			}
+		}
+	}
+	return r.pace / 2, up
+}
+
+// probeDue asks for a position that was not told lately, or a sign of life from a doubted node.
+func (r *Router) probeDue(now float64, at int) bool {
+	n := &r.nodes[at]
+	if !n.usable() || n.probing {
+		return false
+	}
+	if r.doubted(now, at) {
+		return now-n.probedAt >= r.span/2
+	}
+	return r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= r.pace
+}
+
+// weigh brings the fleet's figures up to date: the median share of failures, a warm node's
+// rate, and each command group's share of its target by benefit for work.
+func (r *Router) weigh(now float64) {
+	var shares []float64
+	var rate, warm float64
+	for i := range r.nodes {
+		n := &r.nodes[i]
+		if !n.usable() {
+			continue
+		}
+		r.fadeNode(now, n)
+		shares = append(shares, n.bad/(n.all+1))
+		if now-n.started >= r.site.WarmIn {
+			rate += n.sent / r.fade
+			warm++
+		}
+	}
+	if len(shares) > 0 {
+		slices.Sort(shares)
+		r.median = shares[(len(shares)-1)/2]
+	}
+	if warm > 0 {
+		r.warmRate = rate / warm
+	}
+	var top, readTop float64
+	density := func(g *group) float64 { return g.benefit / math.Max(g.work, r.site.Tick+roundOff) }
+	for i := range r.groups {
+		g := &r.groups[i]
+		top = math.Max(top, density(g))
+		if g.need != needWrite {
+			readTop = math.Max(readTop, density(g))
+		}
+	}
+	for i := range r.groups {
+		g := &r.groups[i]
+		g.primaryCut = lowCut + (1-lowCut)*density(g)/math.Max(top, roundOff)
+		g.cut = lowCut + (1-lowCut)*density(g)/math.Max(readTop, roundOff)
+	}
+}
+
+// forget lets the older generation of sessions go; their positions become their sets' floors.
+func (r *Router) forget(now float64) {
+	longest := 0.0
+	for i := range r.groups {
+		longest = math.Max(longest, r.groups[i].timeout)
+	}
+	if now-r.turnedAt < sessionSpans*longest && len(r.young) < sessionCap/2 {
+		return
+	}
+	r.turnedAt = now
+	for i := range r.sets {
+		r.sets[i].floor = math.Max(r.sets[i].floor, r.oldTop[i])
+		r.oldTop[i], r.youngTop[i] = r.youngTop[i], math.Inf(-1)
+	}
+	r.old, r.young = r.young, map[uint64]session{}
+}
--- /dev/null
+++ b/internal/router/types.go
@@ -0,0 +1,165 @@
+package router
+
+// Site is what a router is told at start, in plain values: seconds, shares and
+// the wire's words for needs, effects, scopes, tokens and guards.
+type Site struct {
+	Groups      []CommandGroup
+	Customers   []float64 // rate inside each customer's share, over all routers
+	OverShare   float64   // what a command beyond its customer's share is worth
+	Routers     int       // routers in this tier
+	Tick        float64   // batches come at most this often
+	ZeroAt      float64   // the time from which positions count
+	Tokens      string    // "brought" or "kept"
+	Guards      string    // "none", "bounce" or "await"
+	Positions   bool      // answers carry positions
+	Reports     bool      // probes carry position and role
+	Ask         bool      // the list comes only when asked for
+	AskWithin   float64   // an unasked list counts as told after this
+	SoftRemoval bool      // being gone alone does not bind
+	Cancel      bool
+	Copies      bool
+	Probes      bool
+	Advice      bool    // clients are given a time to come back
+	MaxAdvice   float64 // the longest they honour
+	Tries       int     // most dispatches of one command
+	Dial        float64 // a connection not made within this has failed
+	ColdShare   float64 // a node starts at no less than this share of its capacity
+	WarmIn      float64 // and is warm after this
+	Overload    float64 // multiple of present capacity that pushes a cold node over
+	FallSpan    float64 // when kept up for this long
+	Grace       float64 // sends to a draining node end within this
+}
+
+// CommandGroup is what a site says of one command group.
+type CommandGroup struct {
+	Need    string // "mutate", "strong", "causal", "lag_bound" or "eventual"
+	Effect  string // "pure", "token" or "side_effect"
+	Scope   string // of a token: "cell", "zone" or "all"
+	Target  float64
+	Timeout float64
+	Benefit float64
+	Late    float64 // share of the benefit paid after the response target
+	Bound   float64 // most age of the data
+	Memory  float64 // how long a repeat is known
+}
+
+// NodeState is what the list says of a node.
+type NodeState int
+
+// States of a listed node.
+const (
+	Gone NodeState = iota
+	Ready
+	Draining
+)
+
+// Listing is one node as the list shows it. Node is an index given at the door.
+type Listing struct {
+	Node    int
+	Set     int // the nodes that hold the same data
+	Zone    int
+	State   NodeState
+	Weight  float64
+	Started float64 // negative infinity: long ago
+	Primary bool
+}
+
+// Command is a command in hand. The caller fills the first part and keeps the
+// value until every dispatch has ended; the rest is the module's.
+type Command struct {
+	Group    int
+	Set      int // negative: no listed set
+	Customer int
+	Session  uint64
+	Arrived  float64
+	GiveUp   float64 // the client stops waiting
+	WriteAge float64 // seconds since the session's last write; 0: none known
+	Repeat   bool    // a client's further try, where clients say so
+
+	Legs   []Leg   // dispatches, in order
+	ran    bool    // some dispatch may have run
+	ranAt  float64 // when the first of those was sent
+	ranOn  int     // and where
+	over   bool    // beyond its customer's share
+	asked  bool    // seen by Place before
+	need   float64 // position that its data must cover
+	missed bool    // a replica turned it away as too far behind
+}
+
+// Leg is one dispatch of a command.
+type Leg struct {
+	Node    int
+	Sent    float64
+	Out     bool
+	ahead   int  // own dispatches out at the node when it was sent
+	late    bool // counted as overdue
+	recall  bool // called off
+	trial   bool // sent to learn whether the node answers again
+	spilled bool // a read on the primary within the share
+}
+
+// Ending is how a dispatch ended.
+type Ending int
+
+// Endings of a dispatch.
+const (
+	Answered  Ending = iota
+	Errored          // may have had an effect
+	Full             // turned away unseen
+	TimedOut         // may have run
+	Unreached        // never connected
+	Broken           // may have run
+	Recalled         // may have run
+	Moot             // never sent
+	Missed           // turned away: not the primary, or too far behind
+)
+
+// Role is what an answer says its sender is.
+type Role int
+
+// Roles of a node.
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+// Outcome is the end of dispatch number Leg.
+type Outcome struct {
+	Leg      int
+	Ending   Ending
+	Took     float64
+	Over     bool    // the command has had its final answer
+	Position float64 // negative: not told
+	Role     Role
+}
+
+// Verdict is the kind of an answer.
+type Verdict int
+
+// Verdicts: not yet, where, and the two kinds of never.
+const (
+	Hold Verdict = iota
+	Send
+	Throttle
+	Fail
+	Done
+)
+
+// Answer tells what to do with a command. Recall is the number of a dispatch to
+// call off first, or -1. With Hold and Send, Again is the time of the next
+// Place at the latest; Until is when the dispatch times out.
+type Answer struct {
+	Verdict  Verdict
+	Node     int
+	Until    float64
+	Again    float64
+	ComeBack float64
+	Recall   int
+}
+
+// Upkeep is what is due besides commands.
+type Upkeep struct {
+	Probe  []int // nodes
+	Follow bool  // ask for the list and its changes
+}
