--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -96,7 +96,7 @@
 	probing           bool
 	probedAt          float64
 	budget, budgetAt  float64 // dispatches that a cold node may still get
-	unreached         bool    // its last sign was a failed connection
+	downAt            float64 // first failed connection since its last answer; +Inf: none
 }
 
 // set is the nodes that hold the same data.
@@ -207,7 +207,7 @@
 		for len(r.nodes) <= l.Node {
 			r.nodes = append(r.nodes, node{set: -1, pos: math.Inf(-1), heardAt: math.Inf(-1),
 				roleAt: math.Inf(-1), lastBad: math.Inf(-1), lastGood: math.Inf(-1),
-				started: math.Inf(-1), probedAt: math.Inf(-1), testAt: math.Inf(-1)})
+				started: math.Inf(-1), downAt: math.Inf(1), probedAt: math.Inf(-1), testAt: math.Inf(-1)})
 		}
 		for len(r.sets) <= l.Set {
 			r.sets = append(r.sets, set{floor: math.Inf(-1)})
@@ -246,8 +246,7 @@
 	n := &r.nodes[at]
 	n.probing = false
 	if !ok {
-		r.blame(now, n)
-		n.unreached = true
+		n.downAt = math.Min(n.downAt, now)
 		return
 	}
 	r.revive(now, n)
@@ -278,13 +277,14 @@
 	}
 }
 
-// revive sees a node that could not be reached answer again: it may have started anew, before
-// any list says so, and is treated as cold from here. Harm: a mere broken link costs it a while.
+// revive sees a node answer that could not be reached for longer than a chance failure lasts: it
+// may have started anew before any list says so, and is treated as cold from here. Harm: after a
+// mere broken link the node is spared for a while without need.
 func (r *Router) revive(now float64, n *node) {
-	if n.unreached {
-		n.unreached = false
-		n.started = math.Max(n.started, math.Min(now, n.lastBad))
+	if now-n.downAt > r.span {
+		n.started = math.Max(n.started, now)
 	}
+	n.downAt = math.Inf(1)
 }
 
 // Place answers where to send a command, or not yet, or never.
@@ -475,7 +475,7 @@
 			continue
 		}
 		if r.doubted(now, i) {
-			if now >= n.trialAt && n.out == 0 && !n.unreached && g.effect == replayable {
+			if now >= n.trialAt && n.out == 0 && g.effect == replayable {
 				trial = i
 			}
 			continue
@@ -573,7 +573,7 @@
 	if n.out > 0 && now-n.since > r.patience(n) {
 		return true
 	}
-	return n.bad/(n.all+1) > r.median+failMargin
+	return n.bad/(n.all+priorWeight) > r.median+failMargin
 }
 
 // patience is how long a node with dispatches out may stay silent.
@@ -723,7 +723,9 @@
 		if !l.late {
 			r.blame(now, n)
 		}
-		n.unreached = n.unreached || o.Ending == Unreached
+		if o.Ending == Unreached {
+			n.downAt = math.Min(n.downAt, now)
+		}
 		if o.Ending == TimedOut {
 			r.measure(n, l, o.Took)
 		}
@@ -854,7 +856,7 @@
 			continue
 		}
 		r.fadeNode(now, n)
-		shares = append(shares, n.bad/(n.all+1))
+		shares = append(shares, n.bad/(n.all+priorWeight))
 		if now-n.started >= r.site.WarmIn {
 			rate += n.sent / r.fade
 			warm++
