Queueing room by benefit for work; nothing is sent past its horizon

Repeats now go with what is beyond a share. Could harm: a repeat after a lost router waits behind first tries while queues are long.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,8 +21,8 @@
 	catchUp      = 0.1     // seconds that a read waits for a replica
 	pollShare    = 0.05    // of catchUp between two looks at a waiting command
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
-	lowCut       = 0.4     // of its target that the least beneficial group may spend on queues
-	overCut      = 0.2     // the same beyond a customer's share
+	lowCut       = 0.4     // of the queueing room that the least beneficial group has
+	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's record fades
 	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
@@ -70,7 +70,8 @@
 	scope                                         string
 	target, timeout, benefit, late, bound, memory float64
 	work                                          float64 // mean time of an answer from an idle node
-	cut, primaryCut                               float64 // shares of the target that queues may take
+	stretch                                       float64 // its answer times over what queues alone foretell
+	room, primaryRoom                             float64 // queueing time that it may meet, by benefit
 }
 
 // node is what this router knows of a member.
@@ -167,7 +168,7 @@
 		}
 		r.groups = append(r.groups, group{need: n, effect: e, scope: g.Scope, target: g.Target,
 			timeout: g.Timeout, benefit: g.Benefit, late: g.Late, bound: g.Bound, memory: g.Memory,
-			cut: 1, primaryCut: 1})
+			stretch: 1, room: g.Target, primaryRoom: g.Target})
 		r.span = math.Max(r.span, g.Target)
 		if n == needBound {
 			r.pace = math.Min(r.pace, probeShare*g.Bound)
@@ -302,11 +303,11 @@
 		!r.mayGoAgain(now, c, g) {
 		return r.never(now, c, g)
 	}
+	if now+r.least(g) > r.horizon(c, g) {
+		return r.never(now, c, g)
+	}
 	at, kind := r.choose(now, c, g)
 	if at < 0 {
-		if now+r.least(g) > r.horizon(c, g) {
-			return r.never(now, c, g)
-		}
 		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
 	}
 	return r.send(now, c, g, at, kind)
@@ -386,7 +387,7 @@
 		return r.chooseWriter(now, c, g), Leg{}
 	case needCurrent:
 		if p := r.primary(c.Set); p >= 0 && !r.doubted(now, p) {
-			return r.fit(now, c, g, p, g.primaryCut), Leg{}
+			return r.fit(now, c, g, p, g.primaryRoom), Leg{}
 		}
 		at, trial := r.pick(now, c, g, c.Arrived)
 		return at, Leg{trial: trial}
@@ -403,7 +404,7 @@
 	p := r.primary(c.Set)
 	open := p >= 0 && !r.doubted(now, p)
 	if open && r.maySpill(now) {
-		if at := r.fit(now, c, g, p, g.primaryCut); at >= 0 {
+		if at := r.fit(now, c, g, p, g.primaryRoom); at >= 0 {
 			return at, Leg{spilled: true}
 		}
 	}
@@ -413,7 +414,7 @@
 		}
 	}
 	if open && (c.missed || now-c.Arrived >= catchUp) {
-		return r.fit(now, c, g, p, g.primaryCut), Leg{spilled: true}
+		return r.fit(now, c, g, p, g.primaryRoom), Leg{spilled: true}
 	}
 	return -1, Leg{}
 }
@@ -442,7 +443,7 @@
 func (r *Router) chooseWriter(now float64, c *Command, g *group) int {
 	p := r.primary(c.Set)
 	if p >= 0 && !r.doubted(now, p) {
-		return r.fit(now, c, g, p, g.primaryCut)
+		return r.fit(now, c, g, p, g.primaryRoom)
 	}
 	if len(c.Legs) >= r.site.Tries-1 {
 		return -1
@@ -468,7 +469,7 @@
 func (r *Router) pick(now float64, c *Command, g *group, need float64) (int, bool) {
 	p := r.primary(c.Set)
 	r.spare = r.spare[:0]
-	trial, best := -1, math.Inf(1)
+	trial, first, best := -1, -1, math.Inf(1)
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
 		if i == p || !n.usable() || n.pos < need || !r.coldRoom(now, i) {
@@ -481,12 +482,14 @@
 			continue
 		}
 		r.spare = append(r.spare, i)
-		best = math.Min(best, r.sojourn(i, g))
+		if t := r.sojourn(i, g); t < best {
+			first, best = i, t
+		}
 	}
 	if trial >= 0 && now-c.Arrived < crowdSlack*g.target {
 		return trial, true
 	}
-	if len(r.spare) == 0 || !r.fits(now, c, g, best, g.cut) {
+	if first < 0 || !r.fits(now, c, g, first, g.room) {
 		return -1, false
 	}
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
@@ -521,16 +524,18 @@
 			least = math.Min(least, n.lag)
 		}
 	}
-	best := math.Inf(1)
+	first, best := -1, math.Inf(1)
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
 		n := &r.nodes[i]
-		far := !math.IsInf(least, 1) && (math.IsInf(n.pos, -1) || n.lag > least+catchUp/2)
-		if !far {
-			best = math.Min(best, r.sojourn(i, g))
+		if !math.IsInf(least, 1) && (math.IsInf(n.pos, -1) || n.lag > least+catchUp/2) {
+			return true
 		}
-		return far
+		if t := r.sojourn(i, g); t < best {
+			first, best = i, t
+		}
+		return false
 	})
-	if len(r.spare) == 0 || !r.fits(now, c, g, best, g.cut) {
+	if first < 0 || !r.fits(now, c, g, first, g.room) {
 		return -1
 	}
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
@@ -540,29 +545,35 @@
 }
 
 // fit returns a node if it has room for the command in time, else -1.
-func (r *Router) fit(now float64, c *Command, g *group, at int, cut float64) int {
-	if !r.coldRoom(now, at) || !r.fits(now, c, g, r.sojourn(at, g), cut) {
+func (r *Router) fit(now float64, c *Command, g *group, at int, room float64) int {
+	if !r.coldRoom(now, at) || !r.fits(now, c, g, at, room) {
 		return -1
 	}
 	return at
 }
 
-// fits sheds by benefit: a group may spend only its share of the target on queues, so that what
-// carries more benefit still finds room, and nothing is sent that comes too late anyway.
-func (r *Router) fits(now float64, c *Command, g *group, sojourn, cut float64) bool {
-	if c.over {
-		cut = overCut
+// fits sheds by benefit: a group may only join queues that leave room for what carries more
+// benefit for its work, and nothing is sent that comes too late anyway. A client's repeat has
+// spent its target on the first try, so it goes with what is beyond a share.
+func (r *Router) fits(now float64, c *Command, g *group, at int, room float64) bool {
+	if c.over || c.Repeat {
+		room *= overCut
 	}
-	queue := sojourn - g.work
-	return queue <= cut*(g.target-g.work) && now+sojourn <= r.horizon(c, g) || queue <= 0
+	n := &r.nodes[at]
+	queue := r.place(n)*float64(n.out+1) - r.lat
+	return (queue <= room || n.out == 0) && now+r.sojourn(at, g) <= r.horizon(c, g)
+}
+
+// place is a node's time per place in its queue, as this router's dispatches out show the
+// queue. It needs no word from the other routers: their load shows as a longer time.
+func (r *Router) place(n *node) float64 {
+	return (n.lat + priorWeight*r.cost) / (n.places + priorWeight)
 }
 
-// sojourn foretells a node's answer time by its own pace: time per place in its queue, as this
-// router's dispatches out show the queue. It needs no word from the other routers.
+// sojourn foretells a node's answer time for a command group.
 func (r *Router) sojourn(at int, g *group) float64 {
 	n := &r.nodes[at]
-	cost := (n.lat + priorWeight*r.cost) / (n.places + priorWeight)
-	return math.Max(g.work, cost*float64(n.out+1))
+	return math.Max(g.work, r.place(n)*float64(n.out+1)*g.stretch)
 }
 
 // doubted says that a node takes work and answers none, or fails more than the fleet does.
@@ -727,13 +738,13 @@
 			n.downAt = math.Min(n.downAt, now)
 		}
 		if o.Ending == TimedOut {
-			r.measure(n, l, o.Took)
+			r.measure(g, n, l, o.Took)
 		}
 	case Recalled:
-		r.measure(n, l, o.Took)
+		r.measure(g, n, l, o.Took)
 	case Full:
 		n.all++
-		r.measure(n, l, math.Max(o.Took, g.target))
+		r.measure(g, n, l, math.Max(o.Took, g.target))
 	case Missed:
 		n.all++
 		c.missed = c.missed || g.need != needWrite
@@ -761,7 +772,10 @@
 }
 
 // measure adds an answer time, or the least that it would have been.
-func (r *Router) measure(n *node, l *Leg, took float64) {
+func (r *Router) measure(g *group, n *node, l *Leg, took float64) {
+	if seen := r.place(n) * float64(l.ahead+1); seen > 0 && l.ahead > 0 {
+		g.stretch += groupWeight * (took/seen - g.stretch)
+	}
 	n.lat += took
 	n.places += float64(l.ahead + 1)
 	n.done++
@@ -769,7 +783,7 @@
 
 // learn takes in an answer: the node's health and pace, the session's positions.
 func (r *Router) learn(now float64, c *Command, g *group, n *node, l *Leg, o Outcome) {
-	r.measure(n, l, o.Took)
+	r.measure(g, n, l, o.Took)
 	if n.lastBad > n.lastGood {
 		n.bad /= 2
 	}
@@ -869,20 +883,37 @@
 	if warm > 0 {
 		r.warmRate = rate / warm
 	}
-	var top, readTop float64
-	density := func(g *group) float64 { return g.benefit / math.Max(g.work, r.site.Tick+roundOff) }
 	for i := range r.groups {
-		g := &r.groups[i]
-		top = math.Max(top, density(g))
-		if g.need != needWrite {
-			readTop = math.Max(readTop, density(g))
+		r.groups[i].room = r.roomOf(i, false)
+		r.groups[i].primaryRoom = r.roomOf(i, true)
+	}
+}
+
+// density is a command group's benefit for its work.
+func (r *Router) density(g *group) float64 {
+	return g.benefit / math.Max(g.work, r.site.Tick+roundOff)
+}
+
+// roomOf is the queueing time that a group may meet: what the groups of at least its density
+// can bear, and less the less its own is. Writes count where the queue is a primary's.
+func (r *Router) roomOf(i int, primary bool) float64 {
+	g := &r.groups[i]
+	room, top := math.Inf(1), roundOff
+	for k := range r.groups {
+		h := &r.groups[k]
+		if h.need == needWrite && !primary {
+			continue
+		}
+		d := r.density(h)
+		top = math.Max(top, d)
+		if d >= r.density(g) {
+			room = math.Min(room, math.Max(0, h.target-h.work))
 		}
 	}
-	for i := range r.groups {
-		g := &r.groups[i]
-		g.primaryCut = lowCut + (1-lowCut)*density(g)/math.Max(top, roundOff)
-		g.cut = lowCut + (1-lowCut)*density(g)/math.Max(readTop, roundOff)
+	if math.IsInf(room, 1) {
+		room = g.target
 	}
+	return room * (lowCut + (1-lowCut)*math.Min(1, r.density(g)/top))
 }
 
 // forget lets the older generation of sessions go; their positions become their sets' floors.
