Let queues wait at the router: a third of the bearable time at the nodes

Cause: crowded replicas have no CPU left to apply the log, fall behind every bound and push reads onto the primary. Could harm where a node needs a deep queue to stay busy.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	pollShare    = 0.05    // of catchUp between two looks at a waiting command
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
 	lowCut       = 0.4     // of the queueing room that the least beneficial group has
+	roomShare    = 0.35    // of the tightest bearable queueing time; the rest waits at the router
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's record fades
@@ -913,7 +914,7 @@
 	if math.IsInf(room, 1) {
 		room = g.target
 	}
-	return room * (lowCut + (1-lowCut)*math.Min(1, r.density(g)/top))
+	return roomShare * room * (lowCut + (1-lowCut)*math.Min(1, r.density(g)/top))
 }
 
 // forget lets the older generation of sessions go; their positions become their sets' floors.
