A doubted host stays out until it answers; health fades within one response target

Cause: with a slow-fading share a cut-off host took many failed connections before it was doubted, and came back unasked. Unreachable hosts are left to probes, silent ones get one trial read at a time, the primary too. Guards also against flapping links; harms a host whose few failures were chance, for at most one trial or probe.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,7 +25,7 @@
 	roomShare    = 0.35    // of the tightest bearable queueing time; the rest waits at the router
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
-	memorySpan   = 4       // longest response targets over which a node's record fades
+	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
 	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
 	quietAlone   = 4.0     // and as many more, shared by the dispatches out at it
 	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
@@ -98,6 +98,7 @@
 	probing           bool
 	probedAt          float64
 	budget, budgetAt  float64 // dispatches that a cold node may still get
+	shunned           bool    // was doubted, and has not answered since
 	downAt            float64 // first failed connection since its last answer; +Inf: none
 }
 
@@ -286,7 +287,9 @@
 	if now-n.downAt > r.span {
 		n.started = math.Max(n.started, now)
 	}
-	n.downAt = math.Inf(1)
+	if !math.IsInf(n.downAt, 1) {
+		n.shunned, n.bad, n.downAt = false, 0, math.Inf(1)
+	}
 }
 
 // Place answers where to send a command, or not yet, or never.
@@ -473,11 +476,11 @@
 	trial, first, best := -1, -1, math.Inf(1)
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
-		if i == p || !n.usable() || n.pos < need || !r.coldRoom(now, i) {
+		if i == p && !r.doubted(now, i) || !n.usable() || n.pos < need || !r.coldRoom(now, i) {
 			continue
 		}
 		if r.doubted(now, i) {
-			if now >= n.trialAt && n.out == 0 && g.effect == replayable {
+			if r.tryable(now, n) && g.effect == replayable {
 				trial = i
 			}
 			continue
@@ -578,14 +581,21 @@
 }
 
 // doubted says that a node takes work and answers none, or fails more than the fleet does.
-// A hung node keeps its last position and would go on qualifying.
+// A hung node keeps its last position and would go on qualifying. Once doubted it stays so until
+// it answers: a trial at a time, or a probe where it could not be reached.
 func (r *Router) doubted(now float64, at int) bool {
 	n := &r.nodes[at]
 	r.fadeNode(now, n)
-	if n.out > 0 && now-n.since > r.patience(n) {
-		return true
+	if n.out > 0 && now-n.since > r.patience(n) || n.bad/(n.all+priorWeight) > r.median+failMargin {
+		n.shunned = true
 	}
-	return n.bad/(n.all+priorWeight) > r.median+failMargin
+	return n.shunned
+}
+
+// tryable says that a doubted node is due for a trial. One that could not be reached is left to
+// probes where there are any; else it costs a command a failed connection.
+func (r *Router) tryable(now float64, n *node) bool {
+	return now >= n.trialAt && n.out == 0 && (math.IsInf(n.downAt, 1) || !r.site.Probes)
 }
 
 // patience is how long a node with dispatches out may stay silent.
@@ -599,8 +609,9 @@
 
 func (r *Router) fadeNode(now float64, n *node) {
 	if now > n.fadedAt {
-		f := math.Exp((n.fadedAt - now) / r.fade)
-		n.lat, n.places, n.done, n.bad, n.all, n.sent = n.lat*f, n.places*f, n.done*f, n.bad*f, n.all*f, n.sent*f
+		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp((n.fadedAt-now)/r.span)
+		n.lat, n.places, n.done, n.sent = n.lat*f, n.places*f, n.done*f, n.sent*f
+		n.bad, n.all = n.bad*quick, n.all*quick
 		n.fadedAt = now
 	}
 }
@@ -720,7 +731,7 @@
 	r.fadeNode(now, n)
 	switch o.Ending {
 	case Answered, Errored, Full, Missed:
-		n.since = now
+		n.since, n.shunned = now, false
 		r.revive(now, n)
 		position := o.Position
 		if g.need == needWrite && o.Ending == Answered {
