--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,7 +30,10 @@
 	quietAlone   = 4.0     // and as many more, shared by the dispatches out at it
 	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
-	groupWeight  = 0.05    // of one answer in its command group's mean work
+	groupWeight  = 0.05    // of one answer in the fleet's means
+	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load
+	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
+	workDrift    = 0.01    // of a batch's mean that is above it
 	coldMargin   = 1.0     // of a warm node's rate, scaled by the cold one's capacity, sent to it
 	coldBurst    = 0.25    // of the fall span whose budget may be spent at once
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
@@ -70,7 +73,8 @@
 	effect                                        effect
 	scope                                         string
 	target, timeout, benefit, late, bound, memory float64
-	work                                          float64 // mean time of an answer from an idle node
+	work                                          float64 // mean time of an answer without a queue
+	batch, batched                                float64 // answers since work was last weighed: time, number
 	stretch                                       float64 // its answer times over what queues alone foretell
 	room, primaryRoom                             float64 // queueing time that it may meet, by benefit
 }
@@ -123,6 +127,7 @@
 	pace     float64 // between two looks at a node
 	poll     float64
 	lat      float64 // fleet's mean answer time, and per place
+	base     float64 // fleet's mean work
 	cost     float64
 	median   float64 // fleet's median share of failures
 	warmRate float64 // dispatches a second that a warm node gets from this router
@@ -564,8 +569,8 @@
 		room *= overCut
 	}
 	n := &r.nodes[at]
-	queue := r.place(n)*float64(n.out+1) - r.lat
-	return (queue <= room || n.out == 0) && now+r.sojourn(at, g) <= r.horizon(c, g)
+	queue := r.place(n)*float64(n.out+1) - r.base
+	return (queue <= room || n.out < freeOut) && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
 // place is a node's time per place in its queue, as this router's dispatches out show the
@@ -789,7 +794,7 @@
 		g.stretch += groupWeight * (took/seen - g.stretch)
 	}
 	n.lat += took
-	n.places += float64(l.ahead + 1)
+	n.places += float64(l.ahead + 2)
 	n.done++
 }
 
@@ -801,12 +806,19 @@
 	}
 	n.all++
 	n.lastGood = now
-	if g.work == 0 {
-		g.work = o.Took
-	}
-	if l.ahead <= 1 {
-		g.work += groupWeight * (o.Took - g.work)
-	}
+	// The least mean time lately is the work: under load every answer holds a queue too.
+	g.batch += o.Took
+	g.batched++
+	if mean := g.batch / g.batched; g.work == 0 {
+		g.work = mean
+	} else if g.batched >= workBatch {
+		g.work = math.Min(mean, g.work+workDrift*(mean-g.work))
+		g.batch, g.batched = 0, 0
+	}
+	if r.base == 0 {
+		r.base, r.lat, r.cost = o.Took, o.Took, o.Took
+	}
+	r.base += groupWeight * (g.work - r.base)
 	r.lat += groupWeight * (o.Took - r.lat)
 	r.cost += groupWeight * (o.Took/float64(l.ahead+1) - r.cost)
 	if c.Session == 0 || g.need != needWrite && g.need != needSession {
