--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,7 +31,8 @@
 	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
-	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load
+	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
+	freeOver     = 4       // as long as as many routers do not add up to more than this
 	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
 	workDrift    = 0.01    // of a batch's mean that is above it
 	coldMargin   = 1.0     // of a warm node's rate, scaled by the cold one's capacity, sent to it
@@ -570,7 +571,7 @@
 	}
 	n := &r.nodes[at]
 	queue := r.place(n)*float64(n.out+1) - r.base
-	return (queue <= room || n.out < freeOut) && now+r.sojourn(at, g) <= r.horizon(c, g)
+	return (queue <= room || n.out < freeOut && n.out*r.site.Routers < freeOver) && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
 // place is a node's time per place in its queue, as this router's dispatches out show the
