--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,7 +22,7 @@
 	pollShare    = 0.05    // of catchUp between two looks at a waiting command
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
 	lowCut       = 0.4     // of the queueing room that the least beneficial group has
-	roomShare    = 0.35    // of the tightest bearable queueing time; the rest waits at the router
+	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
@@ -125,11 +125,11 @@
 	z, w     uint32
 	span     float64 // the longest response target
 	fade     float64 // over which records fade
-	pace     float64 // between two looks at a node
+	gap      float64 // between two looks at a node
 	poll     float64
-	lat      float64 // fleet's mean answer time, and per place
+	lat      float64 // fleet's mean answer time
+	places   float64 // and of this router's places in a queue
 	base     float64 // fleet's mean work
-	cost     float64
 	median   float64 // fleet's median share of failures
 	warmRate float64 // dispatches a second that a warm node gets from this router
 	waitedAt float64
@@ -158,7 +158,7 @@
 	if s.Guards != "none" && s.Guards != "bounce" && s.Guards != "await" {
 		return nil, fmt.Errorf("settings: familyInfo.guards: unknown word %q", s.Guards)
 	}
-	r.pace = math.Inf(1)
+	r.gap = math.Inf(1)
 	for i, g := range s.Groups {
 		n, ok := needs[g.Need]
 		if !ok {
@@ -179,15 +179,15 @@
 			stretch: 1, room: g.Target, primaryRoom: g.Target})
 		r.span = math.Max(r.span, g.Target)
 		if n == needBound {
-			r.pace = math.Min(r.pace, probeShare*g.Bound)
+			r.gap = math.Min(r.gap, probeShare*g.Bound)
 		}
 		if n == needSession {
-			r.pace = math.Min(r.pace, probeShare*g.Target)
+			r.gap = math.Min(r.gap, probeShare*g.Target)
 		}
 	}
 	r.site.Routers = max(1, s.Routers)
 	r.site.Tries = max(1, s.Tries)
-	r.pace = math.Max(s.Tick, math.Min(r.pace, probeShare*r.span))
+	r.gap = math.Max(s.Tick, math.Min(r.gap, probeShare*r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
 	r.fade = memorySpan * r.span
 	r.customers = make([]float64, len(s.Customers))
@@ -570,20 +570,23 @@
 		room *= overCut
 	}
 	n := &r.nodes[at]
-	queue := r.place(n)*float64(n.out+1) - r.base
+	queue := r.pace(n, n.out) - r.base
 	return (queue <= room || n.out < freeOut && n.out*r.site.Routers < freeOver) && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
-// place is a node's time per place in its queue, as this router's dispatches out show the
-// queue. It needs no word from the other routers: their load shows as a longer time.
-func (r *Router) place(n *node) float64 {
-	return (n.lat + priorWeight*r.cost) / (n.places + priorWeight)
+// pace foretells a node's answer time over all command groups. The other routers' part of the
+// queue shows only in its answer times; this router's own, one in so many, goes with what is out.
+func (r *Router) pace(n *node, ahead int) float64 {
+	mean := (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
+	places := (n.places + priorWeight*r.places) / (n.done + priorWeight)
+	others := math.Sqrt(float64(r.site.Routers)) - 1
+	return mean * (others + float64(ahead+1)/(places+1)) / (others + 1)
 }
 
 // sojourn foretells a node's answer time for a command group.
 func (r *Router) sojourn(at int, g *group) float64 {
 	n := &r.nodes[at]
-	return math.Max(g.work, r.place(n)*float64(n.out+1)*g.stretch)
+	return math.Max(g.work, r.pace(n, n.out)*g.stretch)
 }
 
 // doubted says that a node takes work and answers none, or fails more than the fleet does.
@@ -791,11 +794,11 @@
 
 // measure adds an answer time, or the least that it would have been.
 func (r *Router) measure(g *group, n *node, l *Leg, took float64) {
-	if seen := r.place(n) * float64(l.ahead+1); seen > 0 && l.ahead > 0 {
+	if seen := r.pace(n, l.ahead); seen > 0 {
 		g.stretch += groupWeight * (took/seen - g.stretch)
 	}
 	n.lat += took
-	n.places += float64(l.ahead + 2)
+	n.places += float64(l.ahead + 1)
 	n.done++
 }
 
@@ -817,11 +820,11 @@
 		g.batch, g.batched = 0, 0
 	}
 	if r.base == 0 {
-		r.base, r.lat, r.cost = o.Took, o.Took, o.Took
+		r.base, r.lat, r.places = o.Took, o.Took, 1
 	}
 	r.base += groupWeight * (g.work - r.base)
 	r.lat += groupWeight * (o.Took - r.lat)
-	r.cost += groupWeight * (o.Took/float64(l.ahead+1) - r.cost)
+	r.places += groupWeight * (float64(l.ahead+1) - r.places)
 	if c.Session == 0 || g.need != needWrite && g.need != needSession {
 		return
 	}
@@ -854,8 +857,8 @@
 		up.Follow = true
 		r.followAt = now + r.site.AskWithin/2
 	}
-	if now-r.waitedAt < r.pace/2 {
-		return r.waitedAt + r.pace/2 - now, up
+	if now-r.waitedAt < r.gap/2 {
+		return r.waitedAt + r.gap/2 - now, up
 	}
 	r.waitedAt = now
 	r.weigh(now)
@@ -869,7 +872,7 @@
 			}
 		}
 	}
-	return r.pace / 2, up
+	return r.gap / 2, up
 }
 
 // probeDue asks for a position that was not told lately, or a sign of life from a doubted node.
@@ -881,7 +884,7 @@
 	if r.doubted(now, at) {
 		return now-n.probedAt >= r.span/2
 	}
-	return r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= r.pace
+	return r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= r.gap
 }
 
 // weigh brings the fleet's figures up to date: the median share of failures, a warm node's
