--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -320,8 +320,11 @@
 }
 
 func (in *instance) expired(id uint32) {
-	if c := in.cmds[id]; c != nil {
+	if c := in.cmds[id]; c != nil && !c.done {
 		c.done = true
+		if leg := in.router.Left(in.now, &c.Command); leg >= 0 {
+			in.out.Recall(c.id, leg)
+		}
 		in.release(c)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
 	lowCut       = 0.4     // of the queueing room that the least beneficial group has
 	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
+	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
@@ -76,6 +77,7 @@
 	target, timeout, benefit, late, bound, memory float64
 	work                                          float64 // mean time of an answer without a queue
 	batch, batched                                float64 // answers since work was last weighed: time, number
+	left, stay                                    float64 // share of clients that leave early, and after how long
 	stretch                                       float64 // its answer times over what queues alone foretell
 	room, primaryRoom                             float64 // queueing time that it may meet, by benefit
 }
@@ -356,6 +358,9 @@
 // horizon is how long a command is worth having: its target, and with late benefit a part of
 // the time after it.
 func (r *Router) horizon(c *Command, g *group) float64 {
+	if g.left > leaveShare {
+		return math.Min(c.Arrived+math.Min(g.target, g.stay), c.GiveUp)
+	}
 	end := c.Arrived + g.target
 	if g.late > 0 && c.GiveUp > end {
 		end += g.late * (c.GiveUp - end)
@@ -566,7 +571,7 @@
 // benefit for its work, and nothing is sent that comes too late anyway. A client's repeat has
 // spent its target on the first try, so it goes with what is beyond a share.
 func (r *Router) fits(now float64, c *Command, g *group, at int, room float64) bool {
-	if c.over || c.Repeat {
+	if c.over || c.Repeat && g.left <= leaveShare {
 		room *= overCut
 	}
 	n := &r.nodes[at]
@@ -730,6 +735,26 @@
 	return false
 }
 
+// Left takes in that the client of an unfinished command has gone, and calls its dispatch off.
+// Where many leave before their time, only what can be answered before then is worth sending.
+func (r *Router) Left(now float64, c *Command) int {
+	g := &r.groups[c.Group]
+	if age := now - c.Arrived; now < c.GiveUp-r.site.Tick {
+		if g.stay == 0 {
+			g.stay = age
+		}
+		g.left += groupWeight * (1 - g.left)
+		g.stay += groupWeight * (age - g.stay)
+	}
+	for i := range c.Legs {
+		if c.Legs[i].Out && !c.Legs[i].recall && r.site.Cancel {
+			c.Legs[i].recall = true
+			return i
+		}
+	}
+	return -1
+}
+
 // After takes in how a dispatch ended and says what to do.
 func (r *Router) After(now float64, c *Command, o Outcome) Answer {
 	g := &r.groups[c.Group]
@@ -805,6 +830,7 @@
 // learn takes in an answer: the node's health and pace, the session's positions.
 func (r *Router) learn(now float64, c *Command, g *group, n *node, l *Leg, o Outcome) {
 	r.measure(g, n, l, o.Took)
+	g.left -= groupWeight * g.left
 	if n.lastBad > n.lastGood {
 		n.bad /= 2
 	}
