Ask a client back at once while its target lasts, else as late as it heeds

Cause: a command throttled at the end of its target was asked back after one target more; the repeat came too late to earn and took room from first tries.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -386,8 +386,9 @@
 		return Answer{Verdict: Fail, Recall: -1}
 	}
 	a := Answer{Verdict: Throttle, Recall: -1}
-	if r.site.Advice {
-		a.ComeBack = math.Min(g.target, r.site.MaxAdvice)
+	// A try that comes too late for the target should come late; one in time may come at once.
+	if r.site.Advice && now+2*r.least(g) > c.Arrived+g.target {
+		a.ComeBack = r.site.MaxAdvice
 	}
 	return a
 }
