A crowded replica does not qualify: the primary's share and wait apply to it

Folding the separate rule for crowded replicas into the mechanism's own fallback also shortens the module.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -414,9 +414,6 @@
 	if at >= 0 {
 		return at, Leg{trial: trial}
 	}
-	if r.crowded(now, c, c.need) {
-		return -1, Leg{}
-	}
 	p := r.primary(c.Set)
 	open := p >= 0 && !r.doubted(now, p)
 	if open && r.maySpill(now) {
@@ -514,17 +511,6 @@
 	return r.spare[r.chance(len(r.spare))], false
 }
 
-// crowded says that replicas cover the position and have no room: the primary is not for that.
-func (r *Router) crowded(now float64, c *Command, need float64) bool {
-	p := r.primary(c.Set)
-	for _, i := range r.sets[c.Set].nodes {
-		if n := &r.nodes[i]; i != p && n.usable() && n.pos >= need && !r.doubted(now, i) {
-			return true
-		}
-	}
-	return false
-}
-
 // leastBehind serves sites whose replicas check reads themselves.
 func (r *Router) leastBehind(now float64, c *Command, g *group) int {
 	p := r.primary(c.Set)
