--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,7 +36,7 @@
 	freeOver     = 4       // as long as as many routers do not add up to more than this
 	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
 	workDrift    = 0.01    // of a batch's mean that is above it
-	coldMargin   = 1.0     // of a warm node's rate, scaled by the cold one's capacity, sent to it
+	coldMargin   = 0.5     // of the overload factor: what a cold node gets over its share of a warm one's rate
 	coldBurst    = 0.25    // of the fall span whose budget may be spent at once
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
 	sessionSpans = 8       // longest client timeouts after which they are let go as well
@@ -634,7 +634,7 @@
 		return true
 	}
 	part := r.site.ColdShare + (1-r.site.ColdShare)*math.Max(0, age)/r.site.WarmIn
-	rate := math.Max(coldMargin*part*r.warmRate, 1/r.site.FallSpan/float64(r.site.Routers))
+	rate := math.Max(coldMargin*r.site.Overload*part*r.warmRate, 1/r.site.FallSpan/float64(r.site.Routers))
 	most := math.Max(1, rate*r.site.FallSpan*coldBurst)
 	n.budget = math.Min(most, n.budget+rate*math.Max(0, now-n.budgetAt))
 	n.budgetAt = now
