Tests of the module, codec and adapter; keyed repeats stay in their zone

Also: a keyed repeat in scope zone is held from another zone, and where nothing can be called off replayable dispatches time out early enough to leave a hung host.

--- /dev/null
+++ b/internal/adapter/adapter_test.go
@@ -0,0 +1,102 @@
+package adapter
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/wire"
+)
+
+const site = `{"balancers": 1, "classes": [{"effect": "pure", "keyScope": "cell", "targetNs": 500000000,
+ "deadlineNs": 2000000000, "worth": 1, "memorySpanNs": 2000000000}], "familyInfo": {"tokens": "kept",
+ "guards": "none", "tellsPosition": true, "needsByClass": ["eventual"], "classBoundNs": [0], "zeroNs": 0},
+ "limits": {"mostTries": 4}, "unheardOf": {"skipped": true}}`
+
+// batch is one frame at a time of the clock.
+func batch(clock uint64, count uint32, records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	b := binary.LittleEndian.AppendUint32(nil, uint32(len(body)))
+	b = binary.LittleEndian.AppendUint32(b, count)
+	return append(binary.LittleEndian.AppendUint64(b, clock), body...)
+}
+
+func up(params string) []byte {
+	b := append([]byte{5, 0, 0, 0, 0, 3}, make([]byte, 8)...)
+	return append(binary.LittleEndian.AppendUint32(b, uint32(len(params))), params...)
+}
+
+// list is a set with one ready host, and its update.
+func list() []byte {
+	b := append([]byte{11, 0, 0, 1, 0, 0, 0, 10, 0, 0, 1, 9, 9}, make([]byte, 22)...)
+	b[7+11] = 1
+	return append(b, 10, 2, 0, 0, 0, 0, 0, 0)
+}
+
+func job(id byte, due uint64) []byte {
+	b := append([]byte{9, id, 0, 0, 0}, make([]byte, 14)...)
+	b = binary.LittleEndian.AppendUint64(b, due)
+	return append(b, make([]byte, 17)...)
+}
+
+func serve(t *testing.T, frames ...[]byte) ([]byte, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Serve(bytes.NewReader(bytes.Join(frames, nil)), &out)
+	return out.Bytes(), err
+}
+
+func TestCommandIsDispatchedAndAnswered(t *testing.T) {
+	out, err := serve(t,
+		batch(1e9, 4, up(site), list(), nil),
+		batch(1e9, 2, []byte{5, 0, 0, 0, 0}, job(7, 2e9)))
+	require.NoError(t, err)
+	want := []byte{1, 7, 0, 0, 0, 10, 0, 0, 1, 9, 9}
+	assert.True(t, bytes.Contains(out, want), "an attempt at the one host")
+}
+
+func TestUnknownAndLateEventsAreLegal(t *testing.T) {
+	closed := append([]byte{4, 9, 0, 0, 0, 0}, make([]byte, 22)...)
+	probed := append([]byte{12}, make([]byte, 17)...)
+	_, err := serve(t, batch(1e9, 8, up(site), list(), closed, probed, []byte{8, 1, 0, 0, 0}, []byte{7, 5, 0, 0, 0}))
+	assert.NoError(t, err)
+}
+
+func TestBadInput(t *testing.T) {
+	for says, frame := range map[string][]byte{
+		"event for unknown instance 4": batch(1, 2, []byte{5, 4, 0, 0, 0}, job(1, 1)),
+		"before any instance":          batch(1, 1, job(1, 1)),
+		"never defined":                batch(1, 3, up(site), []byte{10, 1, 0, 0, 0, 0, 3, 0}),
+		"unknown list mode":            batch(1, 3, up(site), []byte{10, 8, 0, 0, 0, 0, 3, 0}),
+		"truncated frame":              batch(1, 1, job(1, 1))[:20],
+	} {
+		_, err := serve(t, frame)
+		assert.ErrorContains(t, err, says)
+	}
+}
+
+func TestBadSettingsArePanicText(t *testing.T) {
+	for params, says := range map[string]string{
+		"nonsense":                        "settings:",
+		"{}":                              "classes is missing",
+		`{"classes":[{"effect":"pure"}]}`: "needsByClass holds 0 of 1",
+	} {
+		out, err := serve(t, batch(1, 2, up(params)))
+		require.NoError(t, err)
+		assert.Contains(t, string(out), says)
+	}
+}
+
+func TestRepeatedHostsKeepTheirIndex(t *testing.T) {
+	h := &hub{live: map[uint32]*instance{}, lists: map[int][]wire.Entry{}}
+	b, err := wire.ReadBatch(bytes.NewReader(batch(1e9, 5, up(site), list(), list()[35:])), nil)
+	require.NoError(t, err)
+	require.NoError(t, b.Decode(h))
+	assert.Len(t, h.live[0].hosts, 1)
+	_, err = wire.ReadBatch(bytes.NewReader(nil), nil)
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/internal/adapter/site.go
+++ b/internal/adapter/site.go
@@ -56,7 +56,6 @@
 		Warm      float64 `json:"rampTimeNs"`
 		Overload  float64 `json:"overloadFactor"`
 		Fall      float64 `json:"fallNs"`
-		Grace     float64 `json:"stopSendingWithinNs"`
 	} `json:"invariants"`
 }
 
@@ -82,7 +81,7 @@
 		Advice: p.Limits.Advice, MaxAdvice: p.Limits.MaxAdvice * nano,
 		Tries: p.Limits.Tries, Dial: p.Limits.Dial * nano,
 		ColdShare: p.Rules.Cold, WarmIn: p.Rules.Warm * nano, Overload: p.Rules.Overload,
-		FallSpan: p.Rules.Fall * nano, Grace: p.Rules.Grace * nano,
+		FallSpan: p.Rules.Fall * nano,
 	}
 	for i, c := range p.Classes {
 		g := router.CommandGroup{Need: p.Family.Needs[i], Effect: c.Effect, Scope: c.Scope,
--- /dev/null
+++ b/internal/router/helper_test.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Command groups of the test site, one a need.
+const (
+	gWrite = iota
+	gCurrent
+	gSession
+	gBound
+	gAny
+)
+
+// testSite states figures of its own; no deployment has them.
+func testSite() Site {
+	row := func(need string) CommandGroup {
+		return CommandGroup{Need: need, Effect: "pure", Scope: "cell", Target: 0.5, Timeout: 2, Benefit: 1, Memory: 2}
+	}
+	s := Site{Routers: 1, Tick: 0.005, Tokens: "kept", Guards: "none", Positions: true, Reports: true, Cancel: true,
+		Probes: true, Tries: 6, Dial: 0.25, ColdShare: 0.2, WarmIn: 10, Overload: 2, FallSpan: 2,
+		AskWithin: 8, Groups: []CommandGroup{row("mutate"), row("strong"), row("causal"), row("lag_bound"), row("eventual")}}
+	s.Groups[gWrite].Effect = "side_effect"
+	s.Groups[gWrite].Benefit = 3
+	s.Groups[gBound].Bound = 0.4
+	return s
+}
+
+// listed is one warm, ready node of set 0.
+func listed(node int) Listing {
+	return Listing{Node: node, State: Ready, Weight: 1, Started: math.Inf(-1)}
+}
+
+// testRouter knows a set of three: node 0 is the primary, 1 and 2 are replicas, all heard at time 10.
+func testRouter(t *testing.T, s Site) *Router {
+	t.Helper()
+	r, err := New(s, 7)
+	require.NoError(t, err)
+	r.Listed(10, []Listing{listed(0), listed(1), listed(2)}, true, true)
+	for i := range r.nodes {
+		r.tell(&r.nodes[i], 10, 10, RoleReplica)
+	}
+	r.nodes[0].role = RolePrimary
+	return r
+}
+
+func command(group int) *Command {
+	return &Command{Group: group, Customer: -1, Session: 9, Arrived: 10, GiveUp: 12}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -322,6 +322,9 @@
 	if at < 0 {
 		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
 	}
+	if c.ran && g.effect == keyed && g.scope == "zone" && r.nodes[at].zone != r.nodes[c.ranOn].zone {
+		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1} // the repeat would not be known there
+	}
 	return r.send(now, c, g, at, kind)
 }
 
@@ -686,6 +689,9 @@
 	if g.effect == replayable && g.late == 0 {
 		until = math.Min(until, c.Arrived+g.target)
 	}
+	if !r.site.Cancel && g.effect == replayable { // else a hang could not be left in time
+		until = math.Min(until, now+2*r.patience(n))
+	}
 	return Answer{Verdict: Send, Node: at, Until: until, Again: now + r.patience(n), Recall: -1}
 }
 
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,348 @@
+package router
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestUnknownWordsAreErrors(t *testing.T) {
+	for word, spoil := range map[string]func(*Site){
+		"needsByClass": func(s *Site) { s.Groups[1].Need = "psychic" },
+		"effect":       func(s *Site) { s.Groups[1].Effect = "odd" },
+		"keyScope":     func(s *Site) { s.Groups[1].Effect, s.Groups[1].Scope = "token", "odd" },
+		"tokens":       func(s *Site) { s.Tokens = "odd" },
+		"guards":       func(s *Site) { s.Guards = "odd" },
+		"targetNs":     func(s *Site) { s.Groups[1].Target = 0 },
+	} {
+		s := testSite()
+		spoil(&s)
+		_, err := New(s, 1)
+		assert.ErrorContains(t, err, word)
+	}
+}
+
+func TestSameSeedSameDraws(t *testing.T) {
+	a, b := testRouter(t, testSite()), testRouter(t, testSite())
+	seen := map[int]bool{}
+	for range 100 {
+		x := a.chance(5)
+		require.Equal(t, x, b.chance(5))
+		seen[x] = true
+	}
+	assert.Len(t, seen, 5)
+}
+
+func TestSessionReadNeedsTokenAndSeenMark(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.young[9] = session{token: 9, seen: 10.2}
+	r.nodes[2].pos = 10.3
+	for range 20 {
+		a := r.Place(10.3, command(gSession))
+		assert.Equal(t, Send, a.Verdict)
+		assert.Equal(t, 2, a.Node, "only node 2 covers both positions")
+		r.nodes[2].out = 0
+	}
+}
+
+func TestCarriedTokenIsTheWritesTime(t *testing.T) {
+	s := testSite()
+	s.Tokens = "brought"
+	r := testRouter(t, s)
+	c := command(gSession)
+	c.WriteAge = 0.25
+	r.Place(10, c)
+	assert.InDelta(t, 9.75, c.need, 1e-9)
+}
+
+func TestSpreadIsUniformOverQualifiers(t *testing.T) {
+	r := testRouter(t, testSite())
+	count := map[int]int{}
+	for range 400 {
+		count[r.Place(10, command(gAny)).Node]++
+		r.nodes[1].out, r.nodes[2].out = 0, 0
+	}
+	assert.Zero(t, count[0], "the primary is spared")
+	assert.InDelta(t, 200, count[1], 50)
+}
+
+func TestBoundedReadAtItsBound(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.nodes[1].pos, r.nodes[2].pos = 9.5, 9.7
+	assert.Equal(t, 2, r.Place(10.05, command(gBound)).Node)
+	c := command(gBound)
+	c.Arrived = 10.15
+	assert.Equal(t, Hold, r.Place(10.15, c).Verdict, "none within the bound: it waits")
+	assert.Equal(t, 0, r.Place(10.26, c).Node, "and then goes to the primary")
+}
+
+func TestSpillIsOneInFive(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.turnSlots(10)
+	r.reads[r.slotAt%spillSlots] = 9
+	assert.True(t, r.maySpill(10))
+	r.spills[r.slotAt%spillSlots] = 2
+	assert.False(t, r.maySpill(10))
+	assert.False(t, r.maySpill(11.5), "the last second only")
+}
+
+func TestLeastBehindWhereReplicasCheck(t *testing.T) {
+	s := testSite()
+	s.Guards = "await"
+	r := testRouter(t, s)
+	r.young[9] = session{token: 10.5, seen: math.Inf(-1)}
+	r.nodes[1].lag, r.nodes[2].lag = 3, 0.01
+	c := command(gSession)
+	assert.Equal(t, 2, r.Place(10, c).Node)
+	a := r.After(10.06, c, Outcome{Ending: Missed, Position: -1, Role: RoleReplica})
+	assert.Equal(t, 0, a.Node, "turned away as too far behind, it goes to the primary")
+}
+
+func TestFreshRouterCountsUnheardAsNotQualifying(t *testing.T) {
+	r, err := New(testSite(), 1)
+	require.NoError(t, err)
+	r.Listed(10, []Listing{listed(0), listed(1)}, true, true)
+	assert.Equal(t, Hold, r.Place(10, command(gBound)).Verdict)
+	_, up := r.Wait(10)
+	assert.ElementsMatch(t, []int{0, 1}, up.Probe)
+	assert.Equal(t, Send, r.Place(10, command(gAny)).Verdict, "any read may go to any replica")
+}
+
+func TestUnknownGroupAndPastTimeoutAreThrottled(t *testing.T) {
+	r := testRouter(t, testSite())
+	c := command(gAny)
+	c.Set = -1
+	assert.Equal(t, Throttle, r.Place(10, c).Verdict)
+	c = command(gAny)
+	c.GiveUp = 9
+	assert.Equal(t, Throttle, r.Place(10, c).Verdict)
+}
+
+// A fresh router, or one whose primary died, finds the primary by a write's harmless miss.
+func TestWriteTestsRoles(t *testing.T) {
+	r, err := New(testSite(), 1)
+	require.NoError(t, err)
+	r.Listed(10, []Listing{listed(0), listed(1)}, true, true)
+	c := command(gWrite)
+	first := r.Place(10, c)
+	require.Equal(t, Send, first.Verdict)
+	second := r.After(10.01, c, Outcome{Ending: Missed, Position: -1, Role: RoleReplica})
+	assert.Equal(t, Send, second.Verdict)
+	assert.NotEqual(t, first.Node, second.Node)
+}
+
+func TestListNeverOverridesANodesOwnWord(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.nodes[0].role = RoleReplica
+	r.nodes[1].listPrimary = true
+	assert.Equal(t, -1, r.primary(0), "node 1 has said that it is a replica; a stale read would not be excused")
+	r.nodes[1].role = RoleUnknown
+	assert.Equal(t, 1, r.primary(0))
+}
+
+func TestMutatingRunsOnce(t *testing.T) {
+	for ending, want := range map[Ending]Verdict{Errored: Fail, TimedOut: Fail, Broken: Fail, Recalled: Fail,
+		Full: Send, Unreached: Send, Moot: Send} {
+		r := testRouter(t, testSite())
+		r.nodes[0].all, r.nodes[0].fadedAt = 9, 10
+		c := command(gWrite)
+		r.Place(10, c)
+		assert.Equal(t, want, r.After(10.1, c, Outcome{Ending: ending, Position: -1}).Verdict, "ending %d", ending)
+	}
+}
+
+func TestKeyedRepeatLeavesRoomForItsWay(t *testing.T) {
+	s := testSite()
+	s.Groups[gWrite].Effect = "token"
+	r := testRouter(t, s)
+	c := &Command{ran: true, ranAt: 10}
+	assert.True(t, r.mayGoAgain(11.7, c, &r.groups[gWrite]))
+	assert.False(t, r.mayGoAgain(11.75, c, &r.groups[gWrite]), "a connection may take as long as Dial")
+	assert.Equal(t, Fail, r.never(11.9, c, &r.groups[gWrite]).Verdict, "known in its own group only")
+	r.groups[gWrite].scope = "all"
+	assert.Equal(t, Throttle, r.never(11.9, c, &r.groups[gWrite]).Verdict)
+}
+
+func TestKeyedRepeatStaysInItsZone(t *testing.T) {
+	s := testSite()
+	s.Groups[gWrite].Effect, s.Groups[gWrite].Scope = "token", "zone"
+	r := testRouter(t, s)
+	c := command(gWrite)
+	c.ran, c.ranAt, c.ranOn = true, 10, 1
+	assert.Equal(t, Send, r.Place(10, c).Verdict)
+	r.nodes[1].zone = 1
+	c = command(gWrite)
+	c.ran, c.ranAt, c.ranOn = true, 10, 1
+	assert.Equal(t, Hold, r.Place(10, c).Verdict)
+}
+
+func TestNothingToDrainingOrGone(t *testing.T) {
+	r := testRouter(t, testSite())
+	l := listed(1)
+	l.State = Draining
+	gone := listed(2)
+	gone.State = Gone
+	r.Listed(10, []Listing{l, gone}, false, false)
+	assert.NotContains(t, []int{1, 2}, r.Place(10, command(gAny)).Node)
+	r.site.SoftRemoval = true
+	r.Listed(10, []Listing{gone}, false, false)
+	assert.True(t, r.nodes[2].usable(), "gone alone does not bind there")
+	l.State = Gone
+	r.Listed(10, []Listing{l}, false, false)
+	assert.False(t, r.nodes[1].usable(), "but a drain before it does")
+}
+
+func TestColdNodeHasABudget(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.nodes[1].started, r.nodes[1].budgetAt = 10, 10
+	r.warmRate = 10
+	sent := 0
+	for at := 10.0; at < 12; at += 0.01 {
+		if r.coldRoom(at, 1) {
+			r.nodes[1].budget--
+			sent++
+		}
+	}
+	most := r.site.Overload * r.site.ColdShare * r.warmRate * r.site.FallSpan
+	assert.Positive(t, sent)
+	assert.LessOrEqual(t, float64(sent), most, "over one fall span")
+}
+
+// Chance connect failures once made warm hosts count as cold and throttled quiet days.
+func TestOneFailedConnectionIsNoRestart(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.nodes[1].downAt = 10
+	r.revive(10.3, &r.nodes[1])
+	assert.True(t, math.IsInf(r.nodes[1].started, -1))
+	r.nodes[1].downAt = 10
+	r.revive(12, &r.nodes[1])
+	assert.Equal(t, 12.0, r.nodes[1].started)
+}
+
+// A hung host keeps its last position and would go on qualifying.
+func TestSilentNodeIsDoubtedUntilItAnswers(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.lat = 0.05
+	n := &r.nodes[1]
+	n.out, n.since = 4, 10
+	assert.False(t, r.doubted(10.05, 1))
+	assert.True(t, r.doubted(10.2, 1))
+	n.out = 0
+	assert.True(t, r.doubted(13, 1), "no answer since")
+	n.out = 1
+	c := &Command{Group: gAny, Legs: []Leg{{Node: 1, Out: true}}, Arrived: 10, GiveUp: 14, asked: true}
+	r.After(13, c, Outcome{Ending: Answered, Took: 0.05, Position: -1, Over: true})
+	assert.False(t, r.doubted(13, 1))
+}
+
+func TestHealthIsAgainstTheFleetsMedian(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i := range r.nodes {
+		r.nodes[i].bad, r.nodes[i].all, r.nodes[i].fadedAt = 4, 8, 10
+	}
+	r.weigh(10)
+	assert.False(t, r.doubted(10, 1), "all fail alike: no node stands out")
+	r.nodes[1].bad, r.nodes[1].all = 8, 8
+	assert.True(t, r.doubted(10, 1))
+}
+
+func TestOverdueReadIsCalledOff(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.lat = 0.02
+	c := command(gAny)
+	a := r.Place(10, c)
+	n := &r.nodes[a.Node]
+	n.out = 8
+	b := r.Place(10.4, c)
+	assert.Equal(t, 0, b.Recall)
+	assert.Positive(t, n.bad, "a hang is seen by what is overdue")
+	w := command(gWrite)
+	w.Legs = []Leg{{Node: 1, Sent: 10, Out: true}}
+	assert.Equal(t, -1, r.Place(10.4, w).Recall, "a mutating command is never called off for a repeat")
+}
+
+// Commands past their target were sent again at once until their tries ran out.
+func TestNothingIsSentPastItsHorizon(t *testing.T) {
+	r := testRouter(t, testSite())
+	assert.Equal(t, Throttle, r.Place(10.6, command(gAny)).Verdict)
+	r.groups[gWrite].late = 0.5
+	assert.Equal(t, Send, r.Place(10.6, command(gWrite)).Verdict, "late benefit is worth having")
+}
+
+// A group with a roomy target filled queues past what a denser group could bear.
+func TestRoomFollowsBenefitForWork(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i := range r.groups {
+		r.groups[i].work = 0.05
+	}
+	r.groups[gAny].work, r.groups[gAny].target = 0.1, 2
+	assert.Less(t, r.roomOf(gAny, false), r.roomOf(gBound, false))
+	assert.Less(t, r.roomOf(gBound, true), r.roomOf(gWrite, true), "the write has the most benefit")
+	r.base = 0.05
+	n := &r.nodes[1]
+	n.lat, n.places, n.done, n.out = 2, 50, 10, 5
+	c := command(gBound)
+	assert.True(t, r.fits(10, c, &r.groups[gBound], 1, 0.2))
+	c.over = true
+	assert.False(t, r.fits(10, c, &r.groups[gBound], 1, 0.2), "beyond a customer's share")
+}
+
+// Queues once passed for work under load, and crowded replicas stopped applying the log.
+func TestWorkIsTheLeastMean(t *testing.T) {
+	r := testRouter(t, testSite())
+	g, n, l := &r.groups[gAny], &r.nodes[1], &Leg{Node: 1}
+	c := command(gAny)
+	for range 8 {
+		r.learn(10, c, g, n, l, Outcome{Took: 0.1, Position: -1})
+	}
+	for range 80 {
+		r.learn(10, c, g, n, l, Outcome{Took: 1, Position: -1})
+	}
+	assert.InDelta(t, 0.15, g.work, 0.06)
+}
+
+// Clients that leave long before their time cost work that nobody waits for.
+func TestLeavingClientsShortenTheHorizon(t *testing.T) {
+	r := testRouter(t, testSite())
+	for range 20 {
+		c := command(gAny)
+		c.Legs = []Leg{{Node: 1, Out: true}}
+		assert.Equal(t, 0, r.Left(10.1, c), "its dispatch is called off")
+	}
+	assert.InDelta(t, 10.1, r.horizon(command(gAny), &r.groups[gAny]), 0.001)
+	assert.Equal(t, 10.5, r.horizon(command(gBound), &r.groups[gBound]))
+}
+
+func TestEvictedTokensRaiseTheFloor(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.young[1], r.youngTop[0] = session{token: 9}, 9
+	span := sessionSpans * 2.0
+	r.forget(10 + span)
+	assert.Contains(t, r.old, uint64(1))
+	r.forget(10 + 2*span)
+	assert.NotContains(t, r.old, uint64(1))
+	assert.Equal(t, 9.0, r.sets[0].floor)
+}
+
+func TestListCallsBackOff(t *testing.T) {
+	s := testSite()
+	s.Ask = true
+	r := testRouter(t, s)
+	_, up := r.Wait(10)
+	require.True(t, up.Follow)
+	last := 0.0
+	for range 4 {
+		r.ListFailed(10)
+		gap := r.followAt - 10
+		assert.Greater(t, gap, last/2)
+		last = gap
+	}
+	assert.LessOrEqual(t, last, s.AskWithin/2)
+	_, up = r.Wait(10.01)
+	assert.False(t, up.Follow)
+	r.Listed(11, nil, false, false)
+	_, up = r.Wait(30)
+	assert.False(t, up.Follow, "subscribed")
+}
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -27,7 +27,6 @@
 	WarmIn      float64 // and is warm after this
 	Overload    float64 // multiple of present capacity that pushes a cold node over
 	FallSpan    float64 // when kept up for this long
-	Grace       float64 // sends to a draining node end within this
 }
 
 // CommandGroup is what a site says of one command group.
