--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,7 +28,7 @@
 	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
 	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
-	quietAlone   = 4.0     // and as many more, shared by the dispatches out at it
+	quietAlone   = 4.0     // and as many more, shared by the dispatches since its last
 	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
@@ -95,7 +95,8 @@
 	role              Role    // by its own word
 	roleAt            float64
 	out               int
-	since             float64 // last answer, or the first dispatch out after none were
+	unheard           int     // dispatches since its last answer
+	since             float64 // when the first of those was sent
 	fadedAt           float64
 	lat, places, done float64 // fading sums over answers: time, places in its queue, number
 	bad, all          float64 // fading sums: failures, outcomes
@@ -590,7 +591,7 @@
 func (r *Router) doubted(now float64, at int) bool {
 	n := &r.nodes[at]
 	r.fadeNode(now, n)
-	if n.out > 0 && now-n.since > r.patience(n) || n.bad/(n.all+priorWeight) > r.median+failMargin {
+	if n.unheard > 0 && now-n.since > r.patience(n) || n.bad/(n.all+priorWeight) > r.median+failMargin {
 		n.shunned = true
 	}
 	return n.shunned
@@ -602,13 +603,13 @@
 	return now >= n.trialAt && n.out == 0 && (math.IsInf(n.downAt, 1) || !r.site.Probes)
 }
 
-// patience is how long a node with dispatches out may stay silent.
+// patience is how long a node may stay silent after a dispatch; lone lost answers do not count.
 func (r *Router) patience(n *node) float64 {
 	mean := (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
 	if mean == 0 {
 		mean = testShare * r.span
 	}
-	return mean * (quietBase + quietAlone/float64(max(1, n.out)))
+	return mean * (quietBase + quietAlone/float64(max(1, n.unheard)))
 }
 
 func (r *Router) fadeNode(now float64, n *node) {
@@ -666,9 +667,10 @@
 // send books a dispatch.
 func (r *Router) send(now float64, c *Command, g *group, at int, kind Leg) Answer {
 	n := &r.nodes[at]
-	if n.out == 0 {
+	if n.unheard == 0 {
 		n.since = now
 	}
+	n.unheard++
 	kind.Node, kind.Sent, kind.Out, kind.ahead = at, now, true, n.out
 	r.fadeNode(now, n)
 	n.out++
@@ -702,7 +704,7 @@
 	n := &r.nodes[l.Node]
 	wait := r.patience(n)
 	a := Answer{Verdict: Hold, Again: now + wait/2, Recall: -1}
-	if now-l.Sent > wait && !l.late && now-n.since > wait {
+	if now-l.Sent > wait && !l.late && n.unheard > 0 && now-n.since > wait {
 		l.late = true
 		r.blame(now, n)
 	}
@@ -758,7 +760,7 @@
 	r.fadeNode(now, n)
 	switch o.Ending {
 	case Answered, Errored, Full, Missed:
-		n.since, n.shunned = now, false
+		n.unheard, n.shunned = 0, false
 		r.revive(now, n)
 		position := o.Position
 		if g.need == needWrite && o.Ending == Answered {
