Lost answers are no queue and no work

A dispatch out for five foretold times while its host answered others holds no place; what ended unanswered tells three foretold times at most.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,8 @@
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
 	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
 	quietAlone   = 4.0     // and as many more, shared by the dispatches since its last
+	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
+	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
 	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
@@ -694,7 +696,8 @@
 	if !r.site.Cancel && g.effect == replayable { // else a hang could not be left in time
 		until = math.Min(until, now+2*r.patience(n))
 	}
-	return Answer{Verdict: Send, Node: at, Until: until, Again: now + r.patience(n), Recall: -1}
+	return Answer{Verdict: Send, Node: at, Until: until, Recall: -1,
+		Again: now + math.Min(r.patience(n), lostAfter*r.sojourn(at, g)) + r.site.Tick}
 }
 
 // review looks at a dispatch that is still out. One that is overdue counts against its node
@@ -708,6 +711,14 @@
 		l.late = true
 		r.blame(now, n)
 	}
+	// Its node has answered others since, so this answer is lost, or the command very costly: it
+	// holds no place in the foretold queue any more.
+	if lost := l.Sent + lostAfter*r.sojourn(l.Node, g); now < lost {
+		a.Again = math.Min(a.Again, lost+r.site.Tick)
+	} else if !l.lost && n.lastGood > l.Sent {
+		l.lost = true
+		n.out--
+	}
 	if r.site.Cancel && !l.recall && g.effect != mutating && len(c.Legs) < r.site.Tries &&
 		(l.late || l.trial && now-l.Sent > wait) && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
 		l.recall = true
@@ -756,7 +767,9 @@
 	l := &c.Legs[o.Leg]
 	n := &r.nodes[l.Node]
 	l.Out = false
-	n.out--
+	if !l.lost {
+		n.out--
+	}
 	r.fadeNode(now, n)
 	switch o.Ending {
 	case Answered, Errored, Full, Missed:
@@ -779,10 +792,10 @@
 			n.downAt = math.Min(n.downAt, now)
 		}
 		if o.Ending == TimedOut {
-			r.measure(g, n, l, o.Took)
+			r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
 		}
 	case Recalled:
-		r.measure(g, n, l, o.Took)
+		r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
 	case Full:
 		n.all++
 		r.measure(g, n, l, math.Max(o.Took, g.target))
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -237,6 +237,22 @@
 	assert.False(t, r.doubted(13, 1))
 }
 
+// Lost answers once counted as queues and as seconds of work, and primaries looked full.
+func TestLostAnswersAreNoQueue(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.lat, r.places = 0.05, 1
+	c := command(gWrite)
+	n := &r.nodes[r.Place(10, c).Node]
+	r.Place(10.1, c)
+	assert.Equal(t, 1, n.out)
+	n.lastGood, n.unheard = 10.2, 0
+	r.Place(11, c)
+	assert.Equal(t, 0, n.out, "overtaken by another answer")
+	r.After(12, c, Outcome{Ending: TimedOut, Took: 2, Position: -1})
+	assert.Equal(t, 0, n.out)
+	assert.Less(t, n.lat, 0.5)
+}
+
 func TestHealthIsAgainstTheFleetsMedian(t *testing.T) {
 	r := testRouter(t, testSite())
 	for i := range r.nodes {
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -93,6 +93,7 @@
 	ahead   int  // own dispatches out at the node when it was sent
 	late    bool // counted as overdue
 	recall  bool // called off
+	lost    bool // overtaken by other answers for too long
 	trial   bool // sent to learn whether the node answers again
 	spilled bool // a read on the primary within the share
 }
