A host that turns commands away counts as failing

Full queues now count as failures against the fleet's median. Also guards against hosts that fail fast in other ways; a whole fleet that is full moves the median and stays in use.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -773,7 +773,7 @@
 	r.fadeNode(now, n)
 	switch o.Ending {
 	case Answered, Errored, Full, Missed:
-		n.unheard, n.shunned = 0, false
+		n.unheard, n.shunned = 0, n.shunned && o.Ending == Full
 		r.revive(now, n)
 		position := o.Position
 		if g.need == needWrite && o.Ending == Answered {
@@ -796,8 +796,8 @@
 		}
 	case Recalled:
 		r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
-	case Full:
-		n.all++
+	case Full: // a failure like others: a host that turns all away at once would look idle and draw more
+		r.blame(now, n)
 		r.measure(g, n, l, math.Max(o.Took, g.target))
 	case Missed:
 		n.all++
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -253,6 +253,17 @@
 	assert.Less(t, n.lat, 0.5)
 }
 
+// A host that turned all commands away at once looked idle and drew a third of them.
+func TestTurningAwayIsAFailure(t *testing.T) {
+	r := testRouter(t, testSite())
+	for range 4 {
+		c := command(gAny)
+		c.Legs, c.asked = []Leg{{Node: 1, Sent: 10, Out: true}}, true
+		r.After(10, c, Outcome{Ending: Full, Position: -1})
+	}
+	assert.True(t, r.doubted(10, 1))
+}
+
 func TestHealthIsAgainstTheFleetsMedian(t *testing.T) {
 	r := testRouter(t, testSite())
 	for i := range r.nodes {
