The worst-served command group weighs as the site's goal says; module folded

Its benefit now weighs that much more, by what this router has seen of it. A doubted primary may always be tried by a read. Could harm a group that is badly served for reasons no room can mend.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -301,7 +301,7 @@
 			started = seconds(int64(e.Started - in.base))
 		}
 		facts[i] = router.Listing{Node: node, Set: set, Zone: e.Zone, State: router.NodeState(e.State),
-			Weight: e.Weight, Started: started, Primary: e.Primary}
+			Started: started, Primary: e.Primary}
 	}
 	in.router.Listed(in.now, facts, whole, cached)
 }
--- a/internal/adapter/site.go
+++ b/internal/adapter/site.go
@@ -26,6 +26,10 @@
 		Rate float64 `json:"quotaRps"`
 	} `json:"tenants"`
 	OverShare float64 `json:"overShareWorth"`
+	Goal      struct {
+		Whole float64 `json:"whole"`
+		Worst float64 `json:"worstClass"`
+	} `json:"scoreParts"`
 	Tick      float64 `json:"tickNs"`
 	Discovery string  `json:"discovery"`
 	Family    struct {
@@ -73,7 +77,7 @@
 			len(p.Family.Needs), len(p.Classes))
 	}
 	s := router.Site{
-		Routers: p.Routers, OverShare: p.OverShare, Tick: p.Tick * nano,
+		Routers: p.Routers, OverShare: p.OverShare, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
 		ZeroAt: seconds(int64(p.Family.Zero) - int64(base)),
 		Tokens: p.Family.Tokens, Guards: p.Family.Guards, Positions: p.Family.Positions,
 		Ask: p.Discovery == "ask", AskWithin: p.Rules.AskWithin * nano, SoftRemoval: p.Rules.Soft,
--- a/internal/router/helper_test.go
+++ b/internal/router/helper_test.go
@@ -32,7 +32,7 @@
 
 // listed is one warm, ready node of set 0.
 func listed(node int) Listing {
-	return Listing{Node: node, State: Ready, Weight: 1, Started: math.Inf(-1)}
+	return Listing{Node: node, State: Ready, Started: math.Inf(-1)}
 }
 
 // testRouter knows a set of three: node 0 is the primary, 1 and 2 are replicas, all heard at time 10.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,43 +79,43 @@
 	target, timeout, benefit, late, bound, memory float64
 	work                                          float64 // mean time of an answer without a queue
 	batch, batched                                float64 // answers since work was last weighed: time, number
-	left, stay                                    float64 // share of clients that leave early, and after how long
+	left, stay                                    float64 // share of clients that leave early; after how long
 	stretch                                       float64 // its answer times over what queues alone foretell
 	room, primaryRoom                             float64 // queueing time that it may meet, by benefit
+	asked, answered                               float64 // first tries, and answers within the target
+	weight                                        float64 // of its benefit: more for the worst-served
 }
 
 // node is what this router knows of a member.
 type node struct {
-	set, zone         int
-	listed            bool
-	drains            bool
-	listPrimary       bool
-	weight            float64
-	started           float64
-	heardAt, pos      float64 // last sign with a position, and the highest position told
-	lag               float64 // how far behind it was then
-	role              Role    // by its own word
-	roleAt            float64
-	out               int
-	unheard           int     // dispatches since its last answer
-	since             float64 // when the first of those was sent
-	fadedAt           float64
-	lat, places, done float64 // fading sums over answers: time, places in its queue, number
-	bad, all          float64 // fading sums: failures, outcomes
-	sent              float64 // fading number of dispatches
-	lastBad, lastGood float64
-	trialAt, testAt   float64
-	probing           bool
-	probedAt          float64
-	budget, budgetAt  float64 // dispatches that a cold node may still get
-	shunned           bool    // was doubted, and has not answered since
-	downAt            float64 // first failed connection since its last answer; +Inf: none
+	set, zone                   int
+	listed, drains, listPrimary bool
+	started                     float64
+	heardAt, pos                float64 // last sign with a position, and the highest position told
+	lag                         float64 // how far behind it was then
+	role                        Role    // by its own word
+	roleAt                      float64
+	out                         int
+	unheard                     int     // dispatches since its last answer
+	since                       float64 // when the first of those was sent
+	fadedAt                     float64
+	lat, places, done           float64 // fading sums over answers: time, places in its queue, number
+	bad, all                    float64 // fading sums: failures, outcomes
+	sent                        float64 // fading number of dispatches
+	lastGood                    float64
+	trialAt, testAt             float64
+	probing                     bool
+	probedAt                    float64
+	budget, budgetAt            float64 // dispatches that a cold node may still get
+	shunned                     bool    // was doubted, and has not answered since
+	downAt                      float64 // first failed connection since its last answer; +Inf: none
 }
 
 // set is the nodes that hold the same data.
 type set struct {
-	nodes []int
-	floor float64 // the highest position owed to a session that was let go
+	nodes       []int
+	floor       float64 // the highest position owed to a session that was let go
+	top, oldTop float64 // the highest of the young and old generations
 }
 
 // session is a session's two positions.
@@ -140,8 +140,6 @@
 	waitedAt float64
 	// Sessions in two generations: the older is dropped whole, and raises its sets' floors.
 	young, old     map[uint64]session
-	youngTop       []float64
-	oldTop         []float64
 	turnedAt       float64
 	reads, spills  [spillSlots]float64
 	slotAt         int64
@@ -181,7 +179,7 @@
 		}
 		r.groups = append(r.groups, group{need: n, effect: e, scope: g.Scope, target: g.Target,
 			timeout: g.Timeout, benefit: g.Benefit, late: g.Late, bound: g.Bound, memory: g.Memory,
-			stretch: 1, room: g.Target, primaryRoom: g.Target})
+			stretch: 1, weight: 1, room: g.Target, primaryRoom: g.Target})
 		r.span = math.Max(r.span, g.Target)
 		if n == needBound {
 			r.gap = math.Min(r.gap, probeShare*g.Bound)
@@ -220,13 +218,11 @@
 	for _, l := range list {
 		for len(r.nodes) <= l.Node {
 			r.nodes = append(r.nodes, node{set: -1, pos: math.Inf(-1), heardAt: math.Inf(-1),
-				roleAt: math.Inf(-1), lastBad: math.Inf(-1), lastGood: math.Inf(-1),
+				roleAt: math.Inf(-1), lastGood: math.Inf(-1), lag: math.Inf(1),
 				started: math.Inf(-1), downAt: math.Inf(1), probedAt: math.Inf(-1), testAt: math.Inf(-1)})
 		}
 		for len(r.sets) <= l.Set {
-			r.sets = append(r.sets, set{floor: math.Inf(-1)})
-			r.youngTop = append(r.youngTop, math.Inf(-1))
-			r.oldTop = append(r.oldTop, math.Inf(-1))
+			r.sets = append(r.sets, set{floor: math.Inf(-1), top: math.Inf(-1), oldTop: math.Inf(-1)})
 		}
 		n := &r.nodes[l.Node]
 		if n.set != l.Set {
@@ -237,7 +233,7 @@
 			n.set = l.Set
 			r.sets[l.Set].nodes = append(r.sets[l.Set].nodes, l.Node)
 		}
-		n.zone, n.weight, n.listPrimary = l.Zone, l.Weight, l.Primary
+		n.zone, n.listPrimary = l.Zone, l.Primary
 		n.listed = l.State != Gone || r.site.SoftRemoval
 		n.drains = l.State == Draining || n.drains && l.State == Gone
 		n.started = math.Max(n.started, l.Started)
@@ -250,11 +246,10 @@
 	r.following = false
 	gap := askShare * r.site.AskWithin
 	r.followFailures++
-	r.followAt = now + math.Min(gap*math.Exp2(r.followFailures-1), r.site.AskWithin/2)*(1+r.unit())/2
+	gap = math.Min(gap*math.Exp2(r.followFailures-1), r.site.AskWithin/2)
+	r.followAt = now + gap*(1+float64(r.chance(1<<16))/(1<<16))/2
 }
 
-func (r *Router) unit() float64 { return float64(r.chance(1<<16)) / (1 << 16) }
-
 // Probed takes in a probe's result. Only its report speaks for the node's data.
 func (r *Router) Probed(now float64, at int, ok bool, took, position float64, primary bool) {
 	n := &r.nodes[at]
@@ -322,12 +317,10 @@
 		return r.never(now, c, g)
 	}
 	at, kind := r.choose(now, c, g)
-	if at < 0 {
+	// A keyed repeat may have to stay in its zone: it would not be known elsewhere.
+	if at < 0 || c.ran && g.effect == keyed && g.scope == "zone" && r.nodes[at].zone != r.nodes[c.ranOn].zone {
 		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
 	}
-	if c.ran && g.effect == keyed && g.scope == "zone" && r.nodes[at].zone != r.nodes[c.ranOn].zone {
-		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1} // the repeat would not be known there
-	}
 	return r.send(now, c, g, at, kind)
 }
 
@@ -335,14 +328,12 @@
 func (r *Router) admit(now float64, c *Command, g *group) {
 	c.asked = true
 	c.need = math.Inf(-1)
+	if !c.Repeat {
+		g.asked++
+	}
 	if g.need == needSession {
-		s, ok := r.young[c.Session]
-		if !ok {
-			s, ok = r.old[c.Session]
-		}
-		if ok {
-			c.need = math.Max(s.token, s.seen)
-		}
+		s := r.session(c.Session)
+		c.need = math.Max(s.token, s.seen)
 		if c.Set >= 0 && c.Set < len(r.sets) {
 			c.need = math.Max(c.need, r.sets[c.Set].floor)
 		}
@@ -361,6 +352,17 @@
 	}
 }
 
+// session is what is remembered of a session, if anything.
+func (r *Router) session(id uint64) session {
+	if s, ok := r.young[id]; ok {
+		return s
+	}
+	if s, ok := r.old[id]; ok {
+		return s
+	}
+	return session{token: math.Inf(-1), seen: math.Inf(-1)}
+}
+
 // horizon is how long a command is worth having: its target, and with late benefit a part of
 // the time after it.
 func (r *Router) horizon(c *Command, g *group) float64 {
@@ -441,16 +443,15 @@
 // primary is the member whose own word for being the primary is the newest; the list counts
 // only for a member that was never heard, since it may be seconds late or frozen.
 func (r *Router) primary(s int) int {
-	best := -1
+	best, bestAt := -1, math.Inf(-1)
 	for _, i := range r.sets[s].nodes {
 		n := &r.nodes[i]
-		if n.usable() && n.role == RolePrimary && (best < 0 || n.roleAt > r.nodes[best].roleAt) {
-			best = i
+		if !n.usable() {
+			continue
 		}
-	}
-	for _, i := range r.sets[s].nodes {
-		n := &r.nodes[i]
-		if best < 0 && n.usable() && n.listPrimary && n.role == RoleUnknown {
+		if n.role == RolePrimary && n.roleAt > bestAt {
+			best, bestAt = i, n.roleAt
+		} else if best < 0 && n.role == RoleUnknown && n.listPrimary {
 			best = i
 		}
 	}
@@ -486,63 +487,52 @@
 // pick spreads reads uniformly over the replicas that cover a position. Who qualifies is
 // narrowed to those that answer (a hung one keeps its position) and are not crowded.
 func (r *Router) pick(now float64, c *Command, g *group, need float64) (int, bool) {
-	p := r.primary(c.Set)
-	r.spare = r.spare[:0]
-	trial, first, best := -1, -1, math.Inf(1)
-	for _, i := range r.sets[c.Set].nodes {
-		n := &r.nodes[i]
-		if i == p && !r.doubted(now, i) || !n.usable() || n.pos < need || !r.coldRoom(now, i) {
-			continue
-		}
-		if r.doubted(now, i) {
-			if r.tryable(now, n) && g.effect == replayable {
-				trial = i
-			}
-			continue
-		}
-		r.spare = append(r.spare, i)
-		if t := r.sojourn(i, g); t < best {
-			first, best = i, t
-		}
-	}
+	trial := r.qualify(now, c, g, need)
 	if trial >= 0 && now-c.Arrived < crowdSlack*g.target {
 		return trial, true
 	}
-	if first < 0 || !r.fits(now, c, g, first, g.room) {
-		return -1, false
-	}
-	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
-		return r.sojourn(i, g) > best+crowdSlack*g.target
-	})
-	return r.spare[r.chance(len(r.spare))], false
+	return r.spread(now, c, g), false
 }
 
 // leastBehind serves sites whose replicas check reads themselves.
 func (r *Router) leastBehind(now float64, c *Command, g *group) int {
-	p := r.primary(c.Set)
-	r.spare = r.spare[:0]
+	r.qualify(now, c, g, math.Inf(-1))
 	least := math.Inf(1)
+	for _, i := range r.spare {
+		least = math.Min(least, r.nodes[i].lag)
+	}
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.nodes[i].lag > least+catchUp/2 })
+	return r.spread(now, c, g)
+}
+
+// qualify makes the spare nodes those that may take a read of the position needed. It returns a
+// doubted node that is due for a trial, or -1: a doubted primary too, whose data is excused.
+func (r *Router) qualify(now float64, c *Command, g *group, need float64) int {
+	p, trial := r.primary(c.Set), -1
+	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
-		if i == p || !n.usable() || r.doubted(now, i) || !r.coldRoom(now, i) {
+		doubted := r.doubted(now, i)
+		if i == p && !doubted || !n.usable() || n.pos < need && i != p || !r.coldRoom(now, i) {
 			continue
 		}
-		r.spare = append(r.spare, i)
-		if !math.IsInf(n.pos, -1) {
-			least = math.Min(least, n.lag)
+		if !doubted {
+			r.spare = append(r.spare, i)
+		} else if r.tryable(now, n) && g.effect == replayable {
+			trial = i
 		}
 	}
+	return trial
+}
+
+// spread draws from the spare nodes that are not crowded, or gives -1 if the best has no room.
+func (r *Router) spread(now float64, c *Command, g *group) int {
 	first, best := -1, math.Inf(1)
-	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
-		n := &r.nodes[i]
-		if !math.IsInf(least, 1) && (math.IsInf(n.pos, -1) || n.lag > least+catchUp/2) {
-			return true
-		}
+	for _, i := range r.spare {
 		if t := r.sojourn(i, g); t < best {
 			first, best = i, t
 		}
-		return false
-	})
+	}
 	if first < 0 || !r.fits(now, c, g, first, g.room) {
 		return -1
 	}
@@ -569,7 +559,8 @@
 	}
 	n := &r.nodes[at]
 	queue := r.pace(n, n.out) - r.base
-	return (queue <= room || n.out < freeOut && n.out*r.site.Routers < freeOver) && now+r.sojourn(at, g) <= r.horizon(c, g)
+	free := n.out < freeOut && n.out*r.site.Routers < freeOver
+	return (queue <= room || free) && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
 // pace foretells a node's answer time over all command groups. The other routers' part of the
@@ -627,7 +618,6 @@
 	r.fadeNode(now, n)
 	n.bad++
 	n.all++
-	n.lastBad = now
 	n.trialAt = now + r.span
 }
 
@@ -719,8 +709,8 @@
 		l.lost = true
 		n.out--
 	}
-	if r.site.Cancel && !l.recall && g.effect != mutating && len(c.Legs) < r.site.Tries &&
-		(l.late || l.trial && now-l.Sent > wait) && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
+	if r.site.Cancel && l.late && !l.recall && g.effect != mutating && len(c.Legs) < r.site.Tries &&
+		r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
 		l.recall = true
 		a.Recall = i
 	}
@@ -752,9 +742,14 @@
 		g.left += groupWeight * (1 - g.left)
 		g.stay += groupWeight * (age - g.stay)
 	}
+	return r.callOff(c)
+}
+
+// callOff names a dispatch that nobody waits for any more, or -1.
+func (r *Router) callOff(c *Command) int {
 	for i := range c.Legs {
-		if c.Legs[i].Out && !c.Legs[i].recall && r.site.Cancel {
-			c.Legs[i].recall = true
+		if l := &c.Legs[i]; l.Out && !l.recall && r.site.Cancel {
+			l.recall = true
 			return i
 		}
 	}
@@ -773,7 +768,10 @@
 	r.fadeNode(now, n)
 	switch o.Ending {
 	case Answered, Errored, Full, Missed:
-		n.unheard, n.shunned = 0, n.shunned && o.Ending == Full
+		if n.shunned && o.Ending != Full {
+			n.shunned, n.bad = false, n.bad/2
+		}
+		n.unheard = 0
 		r.revive(now, n)
 		position := o.Position
 		if g.need == needWrite && o.Ending == Answered {
@@ -812,15 +810,8 @@
 			c.ran, c.ranAt, c.ranOn = true, l.Sent, l.Node
 		}
 	}
-	a := Answer{Verdict: Done, Recall: -1}
 	if o.Over {
-		for i := range c.Legs {
-			if c.Legs[i].Out && !c.Legs[i].recall && r.site.Cancel {
-				c.Legs[i].recall = true
-				a.Recall = i
-			}
-		}
-		return a
+		return Answer{Verdict: Done, Recall: r.callOff(c)}
 	}
 	return r.Place(now, c)
 }
@@ -839,8 +830,8 @@
 func (r *Router) learn(now float64, c *Command, g *group, n *node, l *Leg, o Outcome) {
 	r.measure(g, n, l, o.Took)
 	g.left -= groupWeight * g.left
-	if n.lastBad > n.lastGood {
-		n.bad /= 2
+	if now <= c.Arrived+g.target {
+		g.answered++
 	}
 	n.all++
 	n.lastGood = now
@@ -859,29 +850,20 @@
 	r.base += groupWeight * (g.work - r.base)
 	r.lat += groupWeight * (o.Took - r.lat)
 	r.places += groupWeight * (float64(l.ahead+1) - r.places)
-	if c.Session == 0 || g.need != needWrite && g.need != needSession {
-		return
-	}
-	at := now
-	if o.Position >= 0 {
-		at = r.site.ZeroAt + o.Position
-	} else if g.need != needWrite {
+	at, s := r.site.ZeroAt+o.Position, r.session(c.Session)
+	switch {
+	case c.Session == 0 || g.need != needWrite && (g.need != needSession || o.Position < 0):
 		return
-	}
-	s, ok := r.young[c.Session]
-	if !ok {
-		s, ok = r.old[c.Session]
-	}
-	if !ok {
-		s = session{token: math.Inf(-1), seen: math.Inf(-1)}
-	}
-	if g.need == needWrite {
-		s.token = math.Max(s.token, at)
-	} else {
+	case g.need == needSession:
 		s.seen = math.Max(s.seen, at)
+	case o.Position < 0:
+		at = now
+		fallthrough
+	default:
+		s.token = math.Max(s.token, at)
 	}
 	r.young[c.Session] = s
-	r.youngTop[c.Set] = math.Max(r.youngTop[c.Set], at)
+	r.sets[c.Set].top = math.Max(r.sets[c.Set].top, at)
 }
 
 // Wait says how long until the next look, and what upkeep is due now.
@@ -945,15 +927,35 @@
 	if warm > 0 {
 		r.warmRate = rate / warm
 	}
+	r.favour()
 	for i := range r.groups {
 		r.groups[i].room = r.roomOf(i, false)
 		r.groups[i].primaryRoom = r.roomOf(i, true)
 	}
 }
 
+// favour gives the worst-served group the weight that the site's goal gives it beside the whole.
+func (r *Router) favour() {
+	worst, least, sum, benefit := -1, math.Inf(1), 0.0, 0.0
+	for i := range r.groups {
+		g := &r.groups[i]
+		g.weight = 1
+		served := (g.answered + priorWeight) / (g.asked + priorWeight)
+		sum += g.answered * g.benefit
+		benefit += g.asked * g.benefit
+		if served < least {
+			worst, least = i, served
+		}
+	}
+	if worst >= 0 && least < sum/math.Max(benefit, 1) && r.site.Whole > 0 {
+		g := &r.groups[worst]
+		g.weight += r.site.Worst * benefit / (r.site.Whole * g.asked * g.benefit)
+	}
+}
+
 // density is a command group's benefit for its work.
 func (r *Router) density(g *group) float64 {
-	return g.benefit / math.Max(g.work, r.site.Tick+roundOff)
+	return g.weight * g.benefit / math.Max(g.work, r.site.Tick+roundOff)
 }
 
 // roomOf is the queueing time that a group may meet: what the groups of at least its density
@@ -989,8 +991,11 @@
 	}
 	r.turnedAt = now
 	for i := range r.sets {
-		r.sets[i].floor = math.Max(r.sets[i].floor, r.oldTop[i])
-		r.oldTop[i], r.youngTop[i] = r.youngTop[i], math.Inf(-1)
+		s := &r.sets[i]
+		s.floor, s.oldTop, s.top = math.Max(s.floor, s.oldTop), s.top, math.Inf(-1)
+	}
+	for i := range r.groups { // how groups are served is remembered about as long
+		r.groups[i].asked, r.groups[i].answered = r.groups[i].asked/2, r.groups[i].answered/2
 	}
 	r.old, r.young = r.young, map[uint64]session{}
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -254,6 +254,20 @@
 }
 
 // A host that turned all commands away at once looked idle and drew a third of them.
+// Fairness follows the weights that the site states for the whole and for the worst-served group.
+func TestWorstServedGroupIsFavoured(t *testing.T) {
+	s := testSite()
+	s.Whole, s.Worst = 0.5, 0.25
+	r := testRouter(t, s)
+	for i := range r.groups {
+		r.groups[i].asked, r.groups[i].answered = 100, 90
+	}
+	r.groups[gAny].answered = 20
+	r.favour()
+	assert.Equal(t, 1.0, r.groups[gBound].weight)
+	assert.InDelta(t, 1+0.5*7, r.groups[gAny].weight, 1e-9, "one seventh of the benefit asked for")
+}
+
 func TestTurningAwayIsAFailure(t *testing.T) {
 	r := testRouter(t, testSite())
 	for range 4 {
@@ -344,7 +358,7 @@
 
 func TestEvictedTokensRaiseTheFloor(t *testing.T) {
 	r := testRouter(t, testSite())
-	r.young[1], r.youngTop[0] = session{token: 9}, 9
+	r.young[1], r.sets[0].top = session{token: 9}, 9
 	span := sessionSpans * 2.0
 	r.forget(10 + span)
 	assert.Contains(t, r.old, uint64(1))
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -6,6 +6,8 @@
 	Groups      []CommandGroup
 	Customers   []float64 // rate inside each customer's share, over all routers
 	OverShare   float64   // what a command beyond its customer's share is worth
+	Whole       float64   // weight of the whole run in the site's goal
+	Worst       float64   // weight of the worst-served command group
 	Routers     int       // routers in this tier
 	Tick        float64   // batches come at most this often
 	ZeroAt      float64   // the time from which positions count
@@ -58,7 +60,6 @@
 	Set     int // the nodes that hold the same data
 	Zone    int
 	State   NodeState
-	Weight  float64
 	Started float64 // negative infinity: long ago
 	Primary bool
 }
