--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,7 +35,7 @@
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
 	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
-	freeOver     = 4       // as long as as many routers do not add up to more than this
+	freeOver     = 3       // as long as as many routers do not add up to more than this
 	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
 	workDrift    = 0.01    // of a batch's mean that is above it
 	coldMargin   = 0.5     // of the overload factor: what a cold node gets over its share of a warm one's rate
