--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,7 +25,7 @@
 	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
-	probeShare   = 0.25    // of the tightest bound or session target between two looks at a node
+	probeShare   = 0.5     // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
 	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
 	quietAlone   = 4.0     // and as many more, shared by the dispatches since its last
