--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,7 +25,6 @@
 	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
-	probeShare   = 0.5     // of the tightest bound or session target between two looks at a node
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
 	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
 	quietAlone   = 4.0     // and as many more, shared by the dispatches since its last
@@ -130,7 +129,7 @@
 	z, w     uint32
 	span     float64 // the longest response target
 	fade     float64 // over which records fade
-	gap      float64 // between two looks at a node
+	gap      float64 // between two looks at a node: the tightest bound or session target
 	poll     float64
 	lat      float64 // fleet's mean answer time
 	places   float64 // and of this router's places in a queue
@@ -182,15 +181,15 @@
 			stretch: 1, weight: 1, room: g.Target, primaryRoom: g.Target})
 		r.span = math.Max(r.span, g.Target)
 		if n == needBound {
-			r.gap = math.Min(r.gap, probeShare*g.Bound)
+			r.gap = math.Min(r.gap, g.Bound)
 		}
 		if n == needSession {
-			r.gap = math.Min(r.gap, probeShare*g.Target)
+			r.gap = math.Min(r.gap, g.Target)
 		}
 	}
 	r.site.Routers = max(1, s.Routers)
 	r.site.Tries = max(1, s.Tries)
-	r.gap = math.Max(s.Tick, math.Min(r.gap, probeShare*r.span))
+	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
 	r.fade = memorySpan * r.span
 	r.customers = make([]float64, len(s.Customers))
