--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,8 +16,7 @@
 // Tuned values: shares and multiples of what the site states or the router sees.
 const (
 	spillShare   = 0.2     // of this router's reads in the last second may go to the primary
-	spillSpan    = 1.0     // that second
-	spillSlots   = 10      // in which it is counted
+	spillSlots   = 10      // in which that second is counted
 	catchUp      = 0.1     // seconds that a read waits for a replica
 	pollShare    = 0.05    // of catchUp between two looks at a waiting command
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
@@ -26,8 +25,7 @@
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
-	quietBase    = 1.0     // mean answer times without an answer that make a node silent,
-	quietAlone   = 4.0     // and as many more, shared by the dispatches since its last
+	quietAlone   = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
 	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
 	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
@@ -601,7 +599,7 @@
 	if mean == 0 {
 		mean = testShare * r.span
 	}
-	return mean * (quietBase + quietAlone/float64(max(1, n.unheard)))
+	return mean * (1 + quietAlone/float64(max(1, n.unheard)))
 }
 
 func (r *Router) fadeNode(now float64, n *node) {
@@ -648,7 +646,7 @@
 }
 
 func (r *Router) turnSlots(now float64) {
-	at := int64(math.Floor(now / spillSpan * spillSlots))
+	at := int64(math.Floor(now * spillSlots))
 	for k := max(r.slotAt+1, at-spillSlots+1); k <= at; k++ {
 		r.reads[k%spillSlots], r.spills[k%spillSlots] = 0, 0
 	}
@@ -734,7 +732,7 @@
 // Where many leave before their time, only what can be answered before then is worth sending.
 func (r *Router) Left(now float64, c *Command) int {
 	g := &r.groups[c.Group]
-	if age := now - c.Arrived; now < c.GiveUp-r.site.Tick {
+	if age := now - c.Arrived; now < c.GiveUp-r.site.Tick && age > r.site.Tick {
 		if g.stay == 0 {
 			g.stay = age
 		}
@@ -875,6 +873,10 @@
 	if now-r.waitedAt < r.gap/2 {
 		return r.waitedAt + r.gap/2 - now, up
 	}
+	// What clients left must be seen again and again: commands throttled before then tell nothing.
+	for i := range r.groups {
+		r.groups[i].left *= math.Exp((r.waitedAt - now) / r.fade)
+	}
 	r.waitedAt = now
 	r.weigh(now)
 	r.forget(now)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -354,6 +354,10 @@
 	}
 	assert.InDelta(t, 10.1, r.horizon(command(gAny), &r.groups[gAny]), 0.001)
 	assert.Equal(t, 10.5, r.horizon(command(gBound), &r.groups[gBound]))
+	// A router that stalled once took its own lateness for leaving clients and never sent again.
+	r.Wait(11)
+	r.Wait(20)
+	assert.Equal(t, 10.5, r.horizon(command(gAny), &r.groups[gAny]), "not seen again, it is forgotten")
 }
 
 func TestEvictedTokensRaiseTheFloor(t *testing.T) {
