--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -556,7 +556,9 @@
 	}
 	n := &r.nodes[at]
 	queue := r.pace(n, n.out) - r.base
-	free := n.out < freeOut && n.out*r.site.Routers < freeOver
+	// Many routers' free places are taken in turn: each rests for as long as the others need.
+	rest := r.pace(n, n.out) * (float64(r.site.Routers)/freeOver - 1)
+	free := n.out < freeOut && n.out*r.site.Routers < freeOver && now-n.lastGood >= rest
 	return (queue <= room || free) && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
@@ -975,9 +977,6 @@
 			room = math.Min(room, math.Max(0, h.target-h.work))
 		}
 	}
-	if math.IsInf(room, 1) {
-		room = g.target
-	}
 	return roomShare * room * (lowCut + (1-lowCut)*math.Min(1, r.density(g)/top))
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -330,6 +330,20 @@
 	assert.False(t, r.fits(10, c, &r.groups[gBound], 1, 0.2), "beyond a customer's share")
 }
 
+// Eight routers' single free places once filled hosts of four cores twice over.
+func TestManyRoutersTakeFreePlacesInTurn(t *testing.T) {
+	s := testSite()
+	s.Routers = 12
+	r := testRouter(t, s)
+	r.base, r.lat, r.places = 0.01, 0.1, 1
+	r.nodes[1].lastGood = 10
+	c := command(gAny)
+	assert.False(t, r.fits(10.1, c, &r.groups[gAny], 1, 0), "just answered: the others' turn")
+	assert.True(t, r.fits(10.35, c, &r.groups[gAny], 1, 0))
+	r.site.Routers = 3
+	assert.True(t, r.fits(10.1, c, &r.groups[gAny], 1, 0))
+}
+
 // Queues once passed for work under load, and crowded replicas stopped applying the log.
 func TestWorkIsTheLeastMean(t *testing.T) {
 	r := testRouter(t, testSite())
