--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,17 +70,17 @@
 
 // group is a command group's row.
 type group struct {
-	need                                          need
-	effect                                        effect
-	scope                                         string
-	target, timeout, benefit, late, bound, memory float64
-	work                                          float64 // mean time of an answer without a queue
-	batch, batched                                float64 // answers since work was last weighed: time, number
-	left, stay                                    float64 // share of clients that leave early; after how long
-	stretch                                       float64 // its answer times over what queues alone foretell
-	room, primaryRoom                             float64 // queueing time that it may meet, by benefit
-	asked, answered                               float64 // first tries, and answers within the target
-	weight                                        float64 // of its benefit: more for the worst-served
+	need                                 need
+	effect                               effect
+	scope                                string
+	target, benefit, late, bound, memory float64
+	work                                 float64 // mean time of an answer without a queue
+	batch, batched                       float64 // answers since work was last weighed: time, number
+	left, stay                           float64 // share of clients that leave early; after how long
+	stretch                              float64 // its answer times over what queues alone foretell
+	room, primaryRoom                    float64 // queueing time that it may meet, by benefit
+	asked, answered                      float64 // first tries, and answers within the target
+	weight                               float64 // of its benefit: more for the worst-served
 }
 
 // node is what this router knows of a member.
@@ -118,6 +118,9 @@
 // session is a session's two positions.
 type session struct{ token, seen float64 }
 
+// share is what was left of a customer's share at a time.
+type share struct{ left, at float64 }
+
 // Router is one router's knowledge.
 type Router struct {
 	site     Site
@@ -126,6 +129,7 @@
 	sets     []set
 	z, w     uint32
 	span     float64 // the longest response target
+	longest  float64 // the longest client timeout
 	fade     float64 // over which records fade
 	gap      float64 // between two looks at a node: the tightest bound or session target
 	poll     float64
@@ -140,8 +144,7 @@
 	turnedAt       float64
 	reads, spills  [spillSlots]float64
 	slotAt         int64
-	customers      []float64 // what is left of each customer's share
-	customersAt    []float64
+	customers      []share
 	followAt       float64
 	following      bool
 	followFailures float64
@@ -175,9 +178,9 @@
 			return nil, fmt.Errorf("settings: classes[%d]: targetNs and deadlineNs must be above 0", i)
 		}
 		r.groups = append(r.groups, group{need: n, effect: e, scope: g.Scope, target: g.Target,
-			timeout: g.Timeout, benefit: g.Benefit, late: g.Late, bound: g.Bound, memory: g.Memory,
+			benefit: g.Benefit, late: g.Late, bound: g.Bound, memory: g.Memory,
 			stretch: 1, weight: 1, room: g.Target, primaryRoom: g.Target})
-		r.span = math.Max(r.span, g.Target)
+		r.span, r.longest = math.Max(r.span, g.Target), math.Max(r.longest, g.Timeout)
 		if n == needBound {
 			r.gap = math.Min(r.gap, g.Bound)
 		}
@@ -190,8 +193,7 @@
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
 	r.fade = memorySpan * r.span
-	r.customers = make([]float64, len(s.Customers))
-	r.customersAt = make([]float64, len(s.Customers))
+	r.customers = make([]share, len(s.Customers))
 	return r, nil
 }
 
@@ -237,8 +239,8 @@
 	}
 }
 
-// ListFailed says that a list call failed; nothing tells which. The next one waits, twice as
-// long each time, so that the list service is not flooded when it can least bear it.
+// ListFailed says that a list call failed. The next waits, twice as long each time, so that the
+// list service is not flooded when it can least bear it.
 func (r *Router) ListFailed(now float64) {
 	r.following = false
 	gap := askShare * r.site.AskWithin
@@ -260,11 +262,9 @@
 		return
 	}
 	position *= 1 - roundOff
-	role := RoleReplica
-	seenAt := now - took
+	role, seenAt := RoleReplica, now-took
 	if primary {
-		role = RolePrimary
-		seenAt = r.site.ZeroAt + position
+		role, seenAt = RolePrimary, r.site.ZeroAt+position
 	}
 	r.tell(n, seenAt, position, role)
 }
@@ -283,9 +283,8 @@
 	}
 }
 
-// revive sees a node answer that could not be reached for longer than a chance failure lasts: it
-// may have started anew before any list says so, and is treated as cold from here. Harm: after a
-// mere broken link the node is spared for a while without need.
+// revive sees a node answer that was out of reach for longer than chance: it may have started
+// anew before any list says so, and counts as cold. Harm: so does one behind a broken link.
 func (r *Router) revive(now float64, n *node) {
 	if now-n.downAt > r.span {
 		n.started = math.Max(n.started, now)
@@ -340,11 +339,10 @@
 	}
 	if c.Customer >= 0 && c.Customer < len(r.customers) {
 		rate := r.site.Customers[c.Customer] / float64(r.site.Routers)
-		left := &r.customers[c.Customer]
-		*left = math.Min(rate*r.span, *left+rate*(now-r.customersAt[c.Customer]))
-		r.customersAt[c.Customer] = now
-		if c.over = *left < 1 && rate > 0; !c.over {
-			*left--
+		s := &r.customers[c.Customer]
+		s.left, s.at = math.Min(rate*r.span, s.left+rate*(now-s.at)), now
+		if c.over = s.left < 1 && rate > 0; !c.over {
+			s.left--
 		}
 	}
 }
@@ -426,17 +424,30 @@
 			return at, Leg{spilled: true}
 		}
 	}
-	if r.site.Guards != "none" && !c.missed {
+	futile := c.missed || r.futile(now, c)
+	if r.site.Guards != "none" && !futile {
 		if at := r.leastBehind(now, c, g); at >= 0 {
 			return at, Leg{}
 		}
 	}
-	if open && (c.missed || now-c.Arrived >= catchUp) {
+	if open && (futile || now-c.Arrived >= catchUp) {
 		return r.fit(now, c, g, p, g.primaryRoom), Leg{spilled: true}
 	}
 	return -1, Leg{}
 }
 
+// futile says that no replica can apply up to the position needed within the wait, even at
+// twice the log's pace: with all of them stalled a wait only spends the target.
+func (r *Router) futile(now float64, c *Command) bool {
+	for _, i := range r.sets[c.Set].nodes {
+		n := &r.nodes[i]
+		if n.role == RoleReplica && n.usable() && c.need <= n.pos+2*(now+catchUp-n.heardAt) {
+			return false
+		}
+	}
+	return true
+}
+
 // primary is the member whose own word for being the primary is the newest; the list counts
 // only for a member that was never heard, since it may be seconds late or frozen.
 func (r *Router) primary(s int) int {
@@ -515,7 +526,8 @@
 		}
 		if !doubted {
 			r.spare = append(r.spare, i)
-		} else if r.tryable(now, n) && g.effect == replayable {
+		} else if now >= n.trialAt && n.out == 0 && g.effect == replayable &&
+			(math.IsInf(n.downAt, 1) || !r.site.Probes) { // what was out of reach is left to probes
 			trial = i
 		}
 	}
@@ -589,12 +601,6 @@
 	return n.shunned
 }
 
-// tryable says that a doubted node is due for a trial. One that could not be reached is left to
-// probes where there are any; else it costs a command a failed connection.
-func (r *Router) tryable(now float64, n *node) bool {
-	return now >= n.trialAt && n.out == 0 && (math.IsInf(n.downAt, 1) || !r.site.Probes)
-}
-
 // patience is how long a node may stay silent after a dispatch; lone lost answers do not count.
 func (r *Router) patience(n *node) float64 {
 	mean := (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
@@ -982,11 +988,7 @@
 
 // forget lets the older generation of sessions go; their positions become their sets' floors.
 func (r *Router) forget(now float64) {
-	longest := 0.0
-	for i := range r.groups {
-		longest = math.Max(longest, r.groups[i].timeout)
-	}
-	if now-r.turnedAt < sessionSpans*longest && len(r.young) < sessionCap/2 {
+	if now-r.turnedAt < sessionSpans*r.longest && len(r.young) < sessionCap/2 {
 		return
 	}
 	r.turnedAt = now
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -78,6 +78,16 @@
 	assert.Equal(t, 0, r.Place(10.26, c).Node, "and then goes to the primary")
 }
 
+// With every replica stalled by one heavy record the wait only spent the target.
+func TestNoWaitWhereNoReplicaCanCatchUp(t *testing.T) {
+	r := testRouter(t, testSite())
+	c := command(gBound)
+	c.Arrived, c.GiveUp = 10.6, 12
+	assert.Equal(t, Hold, r.Place(10.6, c).Verdict, "heard 0.6 s ago, a replica may have caught up")
+	r.nodes[1].pos, r.nodes[2].pos = 5, 5
+	assert.Equal(t, 0, r.Place(10.6, c).Node, "the primary at once")
+}
+
 func TestSpillIsOneInFive(t *testing.T) {
 	r := testRouter(t, testSite())
 	r.turnSlots(10)
@@ -92,7 +102,7 @@
 	s := testSite()
 	s.Guards = "await"
 	r := testRouter(t, s)
-	r.young[9] = session{token: 10.5, seen: math.Inf(-1)}
+	r.young[9] = session{token: 10.1, seen: math.Inf(-1)}
 	r.nodes[1].lag, r.nodes[2].lag = 3, 0.01
 	c := command(gSession)
 	assert.Equal(t, 2, r.Place(10, c).Node)
