List gap floor and a check of command groups at the door; results of the last full score

Where no asking rule is stated the list service is not flooded; a command of an unknown group is a plain error.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -97,7 +97,7 @@
 	in := newInstance(h.curID, h.clock)
 	site, fields, err := readSite(raw, h.clock)
 	if err == nil {
-		in.fields = fields
+		in.fields, in.groups = fields, len(site.Groups)
 		in.router, err = router.New(site, seed)
 	}
 	if err != nil {
@@ -165,6 +165,9 @@
 	if err != nil {
 		return err
 	}
+	if in.broken == "" && a.Class >= in.groups {
+		return fmt.Errorf("command %d names command group %d of %d", a.ID, a.Class, in.groups)
+	}
 	return in.guard(func() { in.job(a) })
 }
 
@@ -247,6 +250,7 @@
 	now     float64
 	router  *router.Router
 	fields  []string
+	groups  int
 	broken  string
 	dead    bool
 	touched bool
--- a/internal/adapter/adapter_test.go
+++ b/internal/adapter/adapter_test.go
@@ -70,6 +70,7 @@
 	for says, frame := range map[string][]byte{
 		"event for unknown instance 4": batch(1, 2, []byte{5, 4, 0, 0, 0}, job(1, 1)),
 		"before any instance":          batch(1, 1, job(1, 1)),
+		"names command group 3 of 1":   batch(1, 3, up(site), append(append([]byte{9, 1, 0, 0, 0, 3}, make([]byte, 37)...), 0)),
 		"never defined":                batch(1, 3, up(site), []byte{10, 1, 0, 0, 0, 0, 3, 0}),
 		"unknown list mode":            batch(1, 3, up(site), []byte{10, 8, 0, 0, 0, 0, 3, 0}),
 		"truncated frame":              batch(1, 1, job(1, 1))[:20],
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -188,8 +188,8 @@
 			r.gap = math.Min(r.gap, g.Target)
 		}
 	}
-	r.site.Routers = max(1, s.Routers)
-	r.site.Tries = max(1, s.Tries)
+	r.site.Routers, r.site.Tries = max(1, s.Routers), max(1, s.Tries)
+	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
 	r.fade = memorySpan * r.span
