Fold repeated figures and carriers; no decision changes

A node's mean answer time and share of failures were each written twice, a pace reckoned twice in one check, what ended unanswered measured in two branches. A trial is now booked where it is chosen, as a role test is, so dispatches no longer carry two marks that nothing read. Three facts of the site that the module never read are gone, and a client's leaving goes out like any other answer.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -326,9 +326,7 @@
 func (in *instance) expired(id uint32) {
 	if c := in.cmds[id]; c != nil && !c.done {
 		c.done = true
-		if leg := in.router.Left(in.now, &c.Command); leg >= 0 {
-			in.out.Recall(c.id, leg)
-		}
+		in.carry(c, router.Answer{Verdict: router.Done, Recall: in.router.Left(in.now, &c.Command)})
 		in.release(c)
 	}
 }
@@ -349,9 +347,7 @@
 	}
 	a := in.router.After(in.now, &c.Command, o)
 	c.done = c.done || o.Over
-	if !c.done || a.Recall >= 0 {
-		in.carry(c, a)
-	}
+	in.carry(c, a)
 	in.release(c)
 }
 
--- a/internal/adapter/site.go
+++ b/internal/adapter/site.go
@@ -25,20 +25,18 @@
 	Tenants []struct {
 		Rate float64 `json:"quotaRps"`
 	} `json:"tenants"`
-	OverShare float64 `json:"overShareWorth"`
-	Goal      struct {
+	Goal struct {
 		Whole float64 `json:"whole"`
 		Worst float64 `json:"worstClass"`
 	} `json:"scoreParts"`
 	Tick      float64 `json:"tickNs"`
 	Discovery string  `json:"discovery"`
 	Family    struct {
-		Zero      float64   `json:"zeroNs"`
-		Tokens    string    `json:"tokens"`
-		Guards    string    `json:"guards"`
-		Positions bool      `json:"tellsPosition"`
-		Needs     []string  `json:"needsByClass"`
-		Bounds    []float64 `json:"classBoundNs"`
+		Zero   float64   `json:"zeroNs"`
+		Tokens string    `json:"tokens"`
+		Guards string    `json:"guards"`
+		Needs  []string  `json:"needsByClass"`
+		Bounds []float64 `json:"classBoundNs"`
 	} `json:"familyInfo"`
 	Load struct {
 		Source string   `json:"source"`
@@ -46,7 +44,6 @@
 	} `json:"loadInfo"`
 	Limits struct {
 		Cancel    bool    `json:"cancel"`
-		Copies    bool    `json:"secondCopies"`
 		Probes    bool    `json:"probes"`
 		Advice    bool    `json:"retryAfter"`
 		MaxAdvice float64 `json:"maxRetryAfterNs"`
@@ -77,11 +74,11 @@
 			len(p.Family.Needs), len(p.Classes))
 	}
 	s := router.Site{
-		Routers: p.Routers, OverShare: p.OverShare, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
+		Routers: p.Routers, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
 		ZeroAt: seconds(int64(p.Family.Zero) - int64(base)),
-		Tokens: p.Family.Tokens, Guards: p.Family.Guards, Positions: p.Family.Positions,
+		Tokens: p.Family.Tokens, Guards: p.Family.Guards,
 		Ask: p.Discovery == "ask", AskWithin: p.Rules.AskWithin * nano, SoftRemoval: p.Rules.Soft,
-		Cancel: p.Limits.Cancel, Copies: p.Limits.Copies, Probes: p.Limits.Probes,
+		Cancel: p.Limits.Cancel, Probes: p.Limits.Probes,
 		Advice: p.Limits.Advice, MaxAdvice: p.Limits.MaxAdvice * nano,
 		Tries: p.Limits.Tries, Dial: p.Limits.Dial * nano,
 		ColdShare: p.Rules.Cold, WarmIn: p.Rules.Warm * nano, Overload: p.Rules.Overload,
--- a/internal/router/helper_test.go
+++ b/internal/router/helper_test.go
@@ -21,7 +21,7 @@
 	row := func(need string) CommandGroup {
 		return CommandGroup{Need: need, Effect: "pure", Scope: "cell", Target: 0.5, Timeout: 2, Benefit: 1, Memory: 2}
 	}
-	s := Site{Routers: 1, Tick: 0.005, Tokens: "kept", Guards: "none", Positions: true, Reports: true, Cancel: true,
+	s := Site{Routers: 1, Tick: 0.005, Tokens: "kept", Guards: "none", Reports: true, Cancel: true,
 		Probes: true, Tries: 6, Dial: 0.25, ColdShare: 0.2, WarmIn: 10, Overload: 2, FallSpan: 2,
 		AskWithin: 8, Groups: []CommandGroup{row("mutate"), row("strong"), row("causal"), row("lag_bound"), row("eventual")}}
 	s.Groups[gWrite].Effect = "side_effect"
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -306,18 +306,15 @@
 		}
 	}
 	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
-		!r.mayGoAgain(now, c, g) {
+		!r.mayGoAgain(now, c, g) || now+r.least(g) > r.horizon(c, g) {
 		return r.never(now, c, g)
 	}
-	if now+r.least(g) > r.horizon(c, g) {
-		return r.never(now, c, g)
-	}
-	at, kind := r.choose(now, c, g)
+	at, spilled := r.choose(now, c, g)
 	// A keyed repeat may have to stay in its zone: it would not be known elsewhere.
 	if at < 0 || c.ran && g.effect == keyed && g.scope == "zone" && r.nodes[at].zone != r.nodes[c.ranOn].zone {
 		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
 	}
-	return r.send(now, c, g, at, kind)
+	return r.send(now, c, g, at, spilled)
 }
 
 // admit notes what a command needs when it is first seen.
@@ -399,41 +396,39 @@
 // usable says whether rule 3 lets anything new go to a node.
 func (n *node) usable() bool { return n.listed && !n.drains }
 
-// choose picks a node, or -1. kind tells a trial and a read spilled onto the primary.
-func (r *Router) choose(now float64, c *Command, g *group) (int, Leg) {
+// choose picks a node, or -1, and tells a read spilled onto the primary.
+func (r *Router) choose(now float64, c *Command, g *group) (at int, spilled bool) {
 	switch g.need {
 	case needWrite:
-		return r.chooseWriter(now, c, g), Leg{}
+		return r.chooseWriter(now, c, g), false
 	case needCurrent:
 		if p := r.primary(c.Set); p >= 0 && !r.doubted(now, p) {
-			return r.fit(now, c, g, p, g.primaryRoom), Leg{}
+			return r.fit(now, c, g, p, g.primaryRoom), false
 		}
-		at, trial := r.pick(now, c, g, c.Arrived)
-		return at, Leg{trial: trial}
+		return r.pick(now, c, g, c.Arrived), false
 	case needBound:
 		c.need = now - g.bound
 	}
-	at, trial := r.pick(now, c, g, c.need)
-	if at >= 0 {
-		return at, Leg{trial: trial}
+	if at = r.pick(now, c, g, c.need); at >= 0 {
+		return at, false
 	}
 	p := r.primary(c.Set)
 	open := p >= 0 && !r.doubted(now, p)
 	if open && r.maySpill(now) {
-		if at := r.fit(now, c, g, p, g.primaryRoom); at >= 0 {
-			return at, Leg{spilled: true}
+		if at = r.fit(now, c, g, p, g.primaryRoom); at >= 0 {
+			return at, true
 		}
 	}
 	futile := c.missed || r.futile(now, c)
 	if r.site.Guards != "none" && !futile {
-		if at := r.leastBehind(now, c, g); at >= 0 {
-			return at, Leg{}
+		if at = r.leastBehind(now, c, g); at >= 0 {
+			return at, false
 		}
 	}
 	if open && (futile || now-c.Arrived >= catchUp) {
-		return r.fit(now, c, g, p, g.primaryRoom), Leg{spilled: true}
+		return r.fit(now, c, g, p, g.primaryRoom), true
 	}
-	return -1, Leg{}
+	return -1, false
 }
 
 // futile says that no replica can apply up to the position needed within the wait, even at
@@ -494,12 +489,13 @@
 
 // pick spreads reads uniformly over the replicas that cover a position. Who qualifies is
 // narrowed to those that answer (a hung one keeps its position) and are not crowded.
-func (r *Router) pick(now float64, c *Command, g *group, need float64) (int, bool) {
+func (r *Router) pick(now float64, c *Command, g *group, need float64) int {
 	trial := r.qualify(now, c, g, need)
 	if trial >= 0 && now-c.Arrived < crowdSlack*g.target {
-		return trial, true
+		r.nodes[trial].trialAt = now + r.span
+		return trial
 	}
-	return r.spread(now, c, g), false
+	return r.spread(now, c, g)
 }
 
 // leastBehind serves sites whose replicas check reads themselves.
@@ -567,22 +563,29 @@
 		room *= overCut
 	}
 	n := &r.nodes[at]
-	queue := r.pace(n, n.out) - r.base
+	pace := r.pace(n, n.out)
 	// Many routers' free places are taken in turn: each rests for as long as the others need.
-	rest := r.pace(n, n.out) * (float64(r.site.Routers)/freeOver - 1)
+	rest := pace * (float64(r.site.Routers)/freeOver - 1)
 	free := n.out < freeOut && n.out*r.site.Routers < freeOver && now-n.lastGood >= rest
-	return (queue <= room || free) && now+r.sojourn(at, g) <= r.horizon(c, g)
+	return (pace-r.base <= room || free) && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
 // pace foretells a node's answer time over all command groups. The other routers' part of the
 // queue shows only in its answer times; this router's own, one in so many, goes with what is out.
 func (r *Router) pace(n *node, ahead int) float64 {
-	mean := (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
 	places := (n.places + priorWeight*r.places) / (n.done + priorWeight)
 	others := math.Sqrt(float64(r.site.Routers)) - 1
-	return mean * (others + float64(ahead+1)/(places+1)) / (others + 1)
+	return r.mean(n) * (others + float64(ahead+1)/(places+1)) / (others + 1)
 }
 
+// mean is a node's mean answer time, leaning on the fleet's while there are few.
+func (r *Router) mean(n *node) float64 {
+	return (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
+}
+
+// failing is a node's share of failures.
+func (n *node) failing() float64 { return n.bad / (n.all + priorWeight) }
+
 // sojourn foretells a node's answer time for a command group.
 func (r *Router) sojourn(at int, g *group) float64 {
 	n := &r.nodes[at]
@@ -595,7 +598,7 @@
 func (r *Router) doubted(now float64, at int) bool {
 	n := &r.nodes[at]
 	r.fadeNode(now, n)
-	if n.unheard > 0 && now-n.since > r.patience(n) || n.bad/(n.all+priorWeight) > r.median+failMargin {
+	if n.unheard > 0 && now-n.since > r.patience(n) || n.failing() > r.median+failMargin {
 		n.shunned = true
 	}
 	return n.shunned
@@ -603,7 +606,7 @@
 
 // patience is how long a node may stay silent after a dispatch; lone lost answers do not count.
 func (r *Router) patience(n *node) float64 {
-	mean := (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
+	mean := r.mean(n)
 	if mean == 0 {
 		mean = testShare * r.span
 	}
@@ -662,28 +665,24 @@
 }
 
 // send books a dispatch.
-func (r *Router) send(now float64, c *Command, g *group, at int, kind Leg) Answer {
+func (r *Router) send(now float64, c *Command, g *group, at int, spilled bool) Answer {
 	n := &r.nodes[at]
 	if n.unheard == 0 {
 		n.since = now
 	}
 	n.unheard++
-	kind.Node, kind.Sent, kind.Out, kind.ahead = at, now, true, n.out
+	c.Legs = append(c.Legs, Leg{Node: at, Sent: now, Out: true, ahead: n.out})
 	r.fadeNode(now, n)
 	n.out++
 	n.sent++
 	n.budget = math.Max(0, n.budget-1)
-	if kind.trial {
-		n.trialAt = now + r.span
-	}
-	if g.need != needWrite && len(c.Legs) == 0 {
+	if g.need != needWrite && len(c.Legs) == 1 {
 		r.turnSlots(now)
 		r.reads[r.slotAt%spillSlots]++
-		if kind.spilled {
+		if spilled {
 			r.spills[r.slotAt%spillSlots]++
 		}
 	}
-	c.Legs = append(c.Legs, kind)
 	until := c.GiveUp
 	if g.effect == replayable && g.late == 0 {
 		until = math.Min(until, c.Arrived+g.target)
@@ -794,11 +793,6 @@
 		if o.Ending == Unreached {
 			n.downAt = math.Min(n.downAt, now)
 		}
-		if o.Ending == TimedOut {
-			r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
-		}
-	case Recalled:
-		r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
 	case Full: // a failure like others: a host that turns all away at once would look idle and draw more
 		r.blame(now, n)
 		r.measure(g, n, l, math.Max(o.Took, g.target))
@@ -810,7 +804,10 @@
 		}
 	}
 	switch o.Ending {
-	case Errored, Broken, TimedOut, Recalled:
+	case TimedOut, Recalled:
+		r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
+		fallthrough
+	case Errored, Broken:
 		if !c.ran {
 			c.ran, c.ranAt, c.ranOn = true, l.Sent, l.Node
 		}
@@ -923,7 +920,7 @@
 			continue
 		}
 		r.fadeNode(now, n)
-		shares = append(shares, n.bad/(n.all+priorWeight))
+		shares = append(shares, n.failing())
 		if now-n.started >= r.site.WarmIn {
 			rate += n.sent / r.fade
 			warm++
@@ -971,7 +968,7 @@
 // can bear, and less the less its own is. Writes count where the queue is a primary's.
 func (r *Router) roomOf(i int, primary bool) float64 {
 	g := &r.groups[i]
-	room, top := math.Inf(1), roundOff
+	room, top, own := math.Inf(1), roundOff, r.density(g)
 	for k := range r.groups {
 		h := &r.groups[k]
 		if h.need == needWrite && !primary {
@@ -979,11 +976,11 @@
 		}
 		d := r.density(h)
 		top = math.Max(top, d)
-		if d >= r.density(g) {
+		if d >= own {
 			room = math.Min(room, math.Max(0, h.target-h.work))
 		}
 	}
-	return roomShare * room * (lowCut + (1-lowCut)*math.Min(1, r.density(g)/top))
+	return roomShare * room * (lowCut + (1-lowCut)*math.Min(1, own/top))
 }
 
 // forget lets the older generation of sessions go; their positions become their sets' floors.
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -5,7 +5,6 @@
 type Site struct {
 	Groups      []CommandGroup
 	Customers   []float64 // rate inside each customer's share, over all routers
-	OverShare   float64   // what a command beyond its customer's share is worth
 	Whole       float64   // weight of the whole run in the site's goal
 	Worst       float64   // weight of the worst-served command group
 	Routers     int       // routers in this tier
@@ -13,13 +12,11 @@
 	ZeroAt      float64   // the time from which positions count
 	Tokens      string    // "brought" or "kept"
 	Guards      string    // "none", "bounce" or "await"
-	Positions   bool      // answers carry positions
 	Reports     bool      // probes carry position and role
 	Ask         bool      // the list comes only when asked for
 	AskWithin   float64   // an unasked list counts as told after this
 	SoftRemoval bool      // being gone alone does not bind
 	Cancel      bool
-	Copies      bool
 	Probes      bool
 	Advice      bool    // clients are given a time to come back
 	MaxAdvice   float64 // the longest they honour
@@ -88,15 +85,13 @@
 
 // Leg is one dispatch of a command.
 type Leg struct {
-	Node    int
-	Sent    float64
-	Out     bool
-	ahead   int  // own dispatches out at the node when it was sent
-	late    bool // counted as overdue
-	recall  bool // called off
-	lost    bool // overtaken by other answers for too long
-	trial   bool // sent to learn whether the node answers again
-	spilled bool // a read on the primary within the share
+	Node   int
+	Sent   float64
+	Out    bool
+	ahead  int  // own dispatches out at the node when it was sent
+	late   bool // counted as overdue
+	recall bool // called off
+	lost   bool // overtaken by other answers for too long
 }
 
 // Ending is how a dispatch ended.
