Cold budget is given out by the slot, rounded at random, never saved up

Cause: each router saved up one dispatch for a cold host; 104 routers spent theirs in the same second. It also guards against hosts that restart while many routers hold unused allowance, and against mass restarts. Harm: a router with little traffic may draw nothing for some slots.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,7 +36,7 @@
 	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
 	workDrift    = 0.01    // of a batch's mean that is above it
 	coldMargin   = 0.5     // of the overload factor: what a cold node gets over its share of a warm one's rate
-	coldBurst    = 0.25    // of the fall span whose budget may be spent at once
+	coldBurst    = 0.25    // of the fall span whose budget is given out at once
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
 	sessionSpans = 8       // longest client timeouts after which they are let go as well
 	askShare     = 0.0625  // of the asking rule's span before a failed list call is repeated
@@ -204,6 +204,9 @@
 	return int((r.z<<16 + r.w) % uint32(n))
 }
 
+// draw draws from [0, 1).
+func (r *Router) draw() float64 { return float64(r.chance(1<<16)) / (1 << 16) }
+
 // Listed takes in the list: the whole of it or only what changed.
 func (r *Router) Listed(now float64, list []Listing, whole, cached bool) {
 	if !cached {
@@ -246,7 +249,7 @@
 	gap := askShare * r.site.AskWithin
 	r.followFailures++
 	gap = math.Min(gap*math.Exp2(r.followFailures-1), r.site.AskWithin/2)
-	r.followAt = now + gap*(1+float64(r.chance(1<<16))/(1<<16))/2
+	r.followAt = now + gap*(1+r.draw())/2
 }
 
 // Probed takes in a probe's result. Only its report speaks for the node's data.
@@ -639,9 +642,11 @@
 	}
 	part := r.site.ColdShare + (1-r.site.ColdShare)*math.Max(0, age)/r.site.WarmIn
 	rate := math.Max(coldMargin*r.site.Overload*part*r.warmRate, 1/r.site.FallSpan/float64(r.site.Routers))
-	most := math.Max(1, rate*r.site.FallSpan*coldBurst)
-	n.budget = math.Min(most, n.budget+rate*math.Max(0, now-n.budgetAt))
-	n.budgetAt = now
+	// Rounded at random and never saved up: the parts of a dispatch that many routers have add up
+	// to the whole. One apiece at once, from a hundred routers, pushed a cold node over.
+	if span := coldBurst * r.site.FallSpan; now-n.budgetAt >= span {
+		n.budget, n.budgetAt = math.Floor(rate*span+r.draw()), now
+	}
 	return n.budget >= 1
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -220,6 +220,26 @@
 	assert.LessOrEqual(t, float64(sent), most, "over one fall span")
 }
 
+// A hundred routers with one dispatch each once pushed a cold host over in its first second.
+func TestColdBudgetIsASumOverAllRouters(t *testing.T) {
+	sent, many := 0, 100
+	for seed := range many {
+		s := testSite()
+		s.Routers = many
+		r, err := New(s, uint64(seed)<<20|uint64(seed))
+		require.NoError(t, err)
+		r.Listed(10, []Listing{{State: Ready, Started: 9}}, true, false)
+		r.warmRate = 0.1
+		for at := 10.0; at < 12; at += 0.1 {
+			if r.coldRoom(at, 0) {
+				r.nodes[0].budget--
+				sent++
+			}
+		}
+	}
+	assert.Less(t, sent, 12, "ten a second at a warm host allow four a second at a third of its capacity")
+}
+
 // Chance connect failures once made warm hosts count as cold and throttled quiet days.
 func TestOneFailedConnectionIsNoRestart(t *testing.T) {
 	r := testRouter(t, testSite())
