Probes on a budget of own dispatches; reads ask for the positions they lack

Now upkeep probes are at most 0.3 of own dispatches, and a read that no replica is known to cover has two that may cover probed, in an order of the router's own. Harm: at a site with few commands a doubted member's return is learnt later.

--- a/internal/adapter/site.go
+++ b/internal/adapter/site.go
@@ -13,6 +13,7 @@
 // params is the part of the start message that the module reads.
 type params struct {
 	Routers int `json:"balancers"`
+	Me      int `json:"me"`
 	Classes []struct {
 		Effect string  `json:"effect"`
 		Scope  string  `json:"keyScope"`
@@ -95,7 +96,7 @@
 	}
 	var err error
 	s := router.Site{
-		Routers: p.Routers, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
+		Routers: p.Routers, Me: p.Me, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
 		ZeroAt:  seconds(int64(p.Family.Zero) - int64(base)),
 		Brought: word(&err, "familyInfo.tokens", p.Family.Tokens, brought),
 		Guarded: word(&err, "familyInfo.guards", p.Family.Guards, guarded),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,8 @@
 	coldBurst    = 0.25    // of the fall span whose budget is given out at once
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
 	sessionSpans = 8       // longest client timeouts after which they are let go as well
+	probeShare   = 0.3     // of this router's dispatches are probes at most, apart from those that a read asks for
+	newsOf       = 2       // replicas that are probed for a read
 	askShare     = 0.0625  // of the asking rule's span before a failed list call is repeated
 	testShare    = 0.25    // of the longest target between two role tests of one member
 	roundOff     = 1.0 / (1 << 23)
@@ -113,6 +115,9 @@
 	base     float64 // fleet's mean work
 	median   float64 // fleet's median share of failures
 	warmRate float64 // dispatches a second that a warm node gets from this router
+	look     float64 // between two probes of a member that is not heard
+	retry    float64 // and of a doubted one
+	wanted   []int   // nodes whose position a read in hand asks for
 	waitedAt float64
 	// Sessions in two generations: the older is dropped whole, and raises its sets' floors.
 	young, old     map[uint64]session
@@ -371,6 +376,7 @@
 		return at, false
 	}
 	p := r.primary(c.Set)
+	r.ask(now, c, p)
 	open := p >= 0 && !r.doubted(now, p)
 	if open && r.maySpill(now) {
 		if at = r.fit(now, c, g, p, g.primaryRoom); at >= 0 {
@@ -389,12 +395,38 @@
 	return -1, false
 }
 
-// futile says that no replica can apply up to the position needed within the wait, even at
-// twice the log's pace: with all of them stalled a wait only spends the target.
+// ask has replicas of a set probed for a read that none is known to cover: few, and in an order of
+// this router's own, so that over all routers they are spread evenly and each hears a few well. Each
+// router among many hears a member rarely; keeping all fresh once cost more probes than commands.
+func (r *Router) ask(now float64, c *Command, primary int) {
+	r.spare = r.spare[:0]
+	for _, i := range r.sets[c.Set].nodes {
+		if n := &r.nodes[i]; i != primary && n.usable() && !n.shunned && n.mayCover(now, c.need) {
+			r.spare = append(r.spare, i)
+		}
+	}
+	for k := range min(newsOf, len(r.spare)) {
+		i := r.spare[(r.site.Me+k)%len(r.spare)]
+		n := &r.nodes[i]
+		if r.site.Probes && r.site.Reports && !n.probing && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
+			n.probing, n.probedAt = true, now
+			r.wanted = append(r.wanted, i)
+		}
+	}
+}
+
+// mayCover says whether a member can have applied up to a position within the wait, even at twice
+// the log's pace.
+func (n *node) mayCover(now, need float64) bool {
+	return math.IsInf(n.heardAt, -1) || need <= n.pos+2*(now+catchUp-n.heardAt)
+}
+
+// futile says that no replica can cover the position needed within the wait: with all of them
+// stalled a wait only spends the target.
 func (r *Router) futile(now float64, c *Command) bool {
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
-		if n.role == RoleReplica && n.usable() && c.need <= n.pos+2*(now+catchUp-n.heardAt) {
+		if n.role == RoleReplica && n.usable() && n.mayCover(now, c.need) {
 			return false
 		}
 	}
@@ -835,6 +867,7 @@
 		up.Follow = true
 		r.followAt = now + r.site.AskWithin/2
 	}
+	up.Probe, r.wanted = append(up.Probe, r.wanted...), r.wanted[:0]
 	if now-r.waitedAt < r.gap/2 {
 		return r.waitedAt + r.gap/2 - now, up
 	}
@@ -864,16 +897,16 @@
 		return false
 	}
 	if r.doubted(now, at) {
-		return now-n.probedAt >= r.span/2
+		return now-n.probedAt >= r.retry
 	}
-	return r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= r.gap
+	return r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= r.look
 }
 
 // weigh brings the fleet's figures up to date: the median share of failures, a warm node's
 // rate, and each command group's share of its target by benefit for work.
 func (r *Router) weigh(now float64) {
 	var shares []float64
-	var rate, warm float64
+	var rate, warm, shunned float64
 	for i := range r.nodes {
 		n := &r.nodes[i]
 		if !n.usable() {
@@ -881,6 +914,9 @@
 		}
 		r.fadeNode(now, n)
 		shares = append(shares, n.failing())
+		if n.shunned {
+			shunned++
+		}
 		if now-n.started >= r.site.WarmIn {
 			rate += n.sent / r.fade
 			warm++
@@ -893,6 +929,9 @@
 	if warm > 0 {
 		r.warmRate = rate / warm
 	}
+	budget := probeShare * math.Max(rate, 1/r.longest)
+	r.look = math.Max(r.gap, float64(len(shares))/budget)
+	r.retry = math.Max(r.span/2, shunned/budget)
 	r.favour()
 	for i := range r.groups {
 		r.groups[i].room = r.roomOf(i, false)
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -39,6 +39,7 @@
 	Whole       float64   // weight of the whole run in the site's goal
 	Worst       float64   // weight of the worst-served command group
 	Routers     int       // routers in this tier
+	Me          int       // this router's number among them
 	Tick        float64   // batches come at most this often
 	ZeroAt      float64   // the time from which positions count
 	Brought     bool      // session reads bring the age of the session's last write
