--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,7 +82,7 @@
 	probedAt                    float64
 	budget, budgetAt            float64 // dispatches that a cold node may still get
 	shunned                     bool    // was doubted, and has not answered since
-	downAt                      float64 // first failed connection since its last answer; +Inf: none
+	downAt, lostAt              float64 // first and latest failed contact since its last answer; +Inf: none
 }
 
 // set is the nodes that hold the same data.
@@ -217,7 +217,7 @@
 	n := &r.nodes[at]
 	n.probing = false
 	if !ok {
-		n.downAt = math.Min(n.downAt, now)
+		n.unreached(now)
 		return
 	}
 	r.revive(now, n)
@@ -246,10 +246,14 @@
 	}
 }
 
+func (n *node) unreached(now float64) { n.downAt, n.lostAt = math.Min(n.downAt, now), now }
+
 // revive sees a node answer that was out of reach for longer than chance: it may have started
-// anew before any list says so, and counts as cold. Harm: so does one behind a broken link.
+// anew before any list says so, and counts as cold. Two failed contacts must lie that far apart:
+// a router among many hears so rarely that one lost probe made warm primaries cold. Harm: a node
+// behind a broken link counts as cold too.
 func (r *Router) revive(now float64, n *node) {
-	if now-n.downAt > r.span {
+	if n.lostAt-n.downAt > r.span {
 		n.started = math.Max(n.started, now)
 	}
 	if !math.IsInf(n.downAt, 1) {
@@ -426,7 +430,7 @@
 func (r *Router) futile(now float64, c *Command) bool {
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
-		if n.role == RoleReplica && n.usable() && n.mayCover(now, c.need) {
+		if n.role != RolePrimary && n.usable() && n.mayCover(now, c.need) {
 			return false
 		}
 	}
@@ -783,7 +787,7 @@
 			r.blame(now, n)
 		}
 		if o.Ending == Unreached {
-			n.downAt = math.Min(n.downAt, now)
+			n.unreached(now)
 		}
 	case Full: // a failure like others: a host that turns all away at once would look idle and draw more
 		r.blame(now, n)
