A customer's share at one router holds four commands at least

Cause: a share was saved up for one response target; among 127 routers that held less than one command, so every command counted as beyond its share and got a fifth of the room. Told by counting refusals by share. Harm: a flood of one customer passes with four commands a router.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
+	shareDepth   = 4       // commands of a customer that may come at once within its share at one router
 	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
 	quietAlone   = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
@@ -153,7 +154,7 @@
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
 	r.fade = memorySpan * r.span
-	r.customers = make([]share, len(s.Customers))
+	r.customers = slices.Repeat([]share{{left: shareDepth}}, len(s.Customers))
 	return r
 }
 
@@ -304,7 +305,7 @@
 	if c.Customer >= 0 && c.Customer < len(r.customers) {
 		rate := r.site.Customers[c.Customer] / float64(r.site.Routers)
 		s := &r.customers[c.Customer]
-		s.left, s.at = math.Min(rate*r.span, s.left+rate*(now-s.at)), now
+		s.left, s.at = math.Min(math.Max(shareDepth, rate*r.span), s.left+rate*(now-s.at)), now
 		if c.over = s.left < 1 && rate > 0; !c.over {
 			s.left--
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -327,6 +327,20 @@
 	assert.Equal(t, Send, r.Place(10.6, command(gWrite)).Verdict, "late benefit is worth having")
 }
 
+// Among 127 routers a customer's share once held less than one command: all were beyond it.
+func TestSmallShareOfACustomerHoldsSomeCommands(t *testing.T) {
+	s := testSite()
+	s.Routers, s.Customers = 100, []float64{100}
+	r := testRouter(t, s)
+	r.customers[0] = share{left: shareDepth, at: 10}
+	for k := range 2 * shareDepth {
+		c := command(gAny)
+		c.Customer = 0
+		r.admit(10, c, &r.groups[gAny])
+		assert.Equal(t, k >= shareDepth, c.over)
+	}
+}
+
 // A group with a roomy target filled queues past what a denser group could bear.
 func TestRoomFollowsBenefitForWork(t *testing.T) {
 	r := testRouter(t, testSite())
