Health kept over two dispatches to a node; trials are a tenth of dispatches

Cause: a router that hears a member every few seconds forgot its failures in half a second and doubted it after one; each of 130 routers tried each doubted member every half second. One failure alone doubts nobody now. Kept, as it bounds what many routers spend on a dead host. Harm: a host that refuses half its work is seen one dispatch later.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,7 +28,9 @@
 	quietAlone   = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
 	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
-	failMargin   = 0.3     // a share of failures this far above the fleet's median is doubted
+	failMargin   = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
+	evidence     = 2       // dispatches to a node over which its health is kept at least
+	trialShare   = 0.1     // of this router's dispatches may be trials of doubted nodes
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
 	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
@@ -118,7 +120,10 @@
 	warmRate float64 // dispatches a second that a warm node gets from this router
 	look     float64 // between two probes of a member that is not heard
 	retry    float64 // and of a doubted one
-	wanted   []int   // nodes whose position a read in hand asks for
+	recent   float64 // over which health fades
+	tryGap   float64 // between two trials of doubted nodes
+	triedAt  float64
+	wanted   []int // nodes whose position a read in hand asks for
 	waitedAt float64
 	// Sessions in two generations: the older is dropped whole, and raises its sets' floors.
 	young, old     map[uint64]session
@@ -153,7 +158,7 @@
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
-	r.fade = memorySpan * r.span
+	r.fade, r.recent = memorySpan*r.span, r.span
 	r.customers = slices.Repeat([]share{{left: shareDepth}}, len(s.Customers))
 	return r
 }
@@ -486,8 +491,8 @@
 // narrowed to those that answer (a hung one keeps its position) and are not crowded.
 func (r *Router) pick(now float64, c *Command, g *group, need float64) int {
 	trial := r.qualify(now, c, g, need)
-	if trial >= 0 && now-c.Arrived < crowdSlack*g.target {
-		r.nodes[trial].trialAt = now + r.span
+	if trial >= 0 && now-c.Arrived < crowdSlack*g.target && now-r.triedAt >= r.tryGap {
+		r.nodes[trial].trialAt, r.triedAt = now+r.span, now
 		return trial
 	}
 	return r.spread(now, c, g)
@@ -610,7 +615,7 @@
 
 func (r *Router) fadeNode(now float64, n *node) {
 	if now > n.fadedAt {
-		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp((n.fadedAt-now)/r.span)
+		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp((n.fadedAt-now)/r.recent)
 		n.lat, n.places, n.done, n.sent = n.lat*f, n.places*f, n.done*f, n.sent*f
 		n.bad, n.all = n.bad*quick, n.all*quick
 		n.fadedAt = now
@@ -937,6 +942,8 @@
 	budget := probeShare * math.Max(rate, 1/r.longest)
 	r.look = math.Max(r.gap, float64(len(shares))/budget)
 	r.retry = math.Max(r.span/2, shunned/budget)
+	r.tryGap = 1 / (trialShare * math.Max(rate, 1/r.longest))
+	r.recent = math.Max(r.span, math.Min(evidence/r.warmRate, r.longest*sessionSpans))
 	r.favour()
 	for i := range r.groups {
 		r.groups[i].room = r.roomOf(i, false)
