Where all members of a set are doubted the one that failed longest ago is asked

Told by counting, for each refusal, how many members were doubted, behind or cold: 4 to 5 of 5 doubted, none behind. Now the doubted member that failed longest ago takes a read, and a doubted primary a write, one at a time; what could not be reached stays with probes; pacing of trials and probes follows the commands asked, not what was sent; the rate of a warm host falls no faster than a host warms. Harm: a set that is truly all hung costs each router one read at a time.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,7 +30,8 @@
 	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
 	failMargin   = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
 	evidence     = 2       // dispatches to a node over which its health is kept at least
-	trialShare   = 0.1     // of this router's dispatches may be trials of doubted nodes
+	trialShare   = 0.1     // of this router's commands may be trials of doubted nodes
+	lastResort   = 0.25    // of the longest target after a failure until a doubted node is better than none
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
 	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
@@ -41,7 +42,7 @@
 	coldBurst    = 0.25    // of the fall span whose budget is given out at once
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
 	sessionSpans = 8       // longest client timeouts after which they are let go as well
-	probeShare   = 0.3     // of this router's dispatches are probes at most, apart from those that a read asks for
+	probeShare   = 0.25    // probes a command for positions, and as many for signs of life, unasked
 	newsOf       = 2       // replicas that are probed for a read
 	askShare     = 0.0625  // of the asking rule's span before a failed list call is repeated
 	testShare    = 0.25    // of the longest target between two role tests of one member
@@ -50,17 +51,14 @@
 
 // group is a command group's row.
 type group struct {
-	need                                 Need
-	effect                               Effect
-	scope                                Scope
-	target, benefit, late, bound, memory float64
-	work                                 float64 // mean time of an answer without a queue
-	batch, batched                       float64 // answers since work was last weighed: time, number
-	left, stay                           float64 // share of clients that leave early; after how long
-	stretch                              float64 // its answer times over what queues alone foretell
-	room, primaryRoom                    float64 // queueing time that it may meet, by benefit
-	asked, answered                      float64 // first tries, and answers within the target
-	weight                               float64 // of its benefit: more for the worst-served
+	CommandGroup
+	work              float64 // mean time of an answer without a queue
+	batch, batched    float64 // answers since work was last weighed: time, number
+	left, stay        float64 // share of clients that leave early; after how long
+	stretch           float64 // its answer times over what queues alone foretell
+	room, primaryRoom float64 // queueing time that it may meet, by benefit
+	asked, answered   float64 // first tries, and answers within the target
+	weight            float64 // of its benefit: more for the worst-served
 }
 
 // node is what this router knows of a member.
@@ -103,36 +101,36 @@
 
 // Router is one router's knowledge.
 type Router struct {
-	site     Site
-	groups   []group
-	nodes    []node
-	sets     []set
-	z, w     uint32
-	span     float64 // the longest response target
-	longest  float64 // the longest client timeout
-	fade     float64 // over which records fade
-	gap      float64 // between two looks at a node: the tightest bound or session target
-	poll     float64
-	lat      float64 // fleet's mean answer time
-	places   float64 // and of this router's places in a queue
-	base     float64 // fleet's mean work
-	median   float64 // fleet's median share of failures
-	warmRate float64 // dispatches a second that a warm node gets from this router
-	look     float64 // between two probes of a member that is not heard
-	retry    float64 // and of a doubted one
-	recent   float64 // over which health fades
-	tryGap   float64 // between two trials of doubted nodes
-	triedAt  float64
-	wanted   []int // nodes whose position a read in hand asks for
-	waitedAt float64
+	site              Site
+	groups            []group
+	nodes             []node
+	sets              []set
+	z, w              uint32
+	span              float64 // the longest response target
+	longest           float64 // the longest client timeout
+	fade              float64 // over which records fade
+	gap               float64 // between two looks at a node: the tightest bound or session target
+	poll              float64
+	lat               float64 // fleet's mean answer time
+	places            float64 // and of this router's places in a queue
+	base              float64 // fleet's mean work
+	median            float64 // fleet's median share of failures
+	warmRate          float64 // dispatches a second that a warm node gets from this router
+	cmds              float64 // fading number of commands
+	look              float64 // between two probes of a member that is not heard,
+	retry             float64 // and of a doubted one
+	recent            float64 // over which health fades
+	tryGap            float64 // between two trials of doubted nodes
+	wanted            []int   // nodes whose position a read in hand asks for
+	waitedAt, triedAt float64
 	// Sessions in two generations: the older is dropped whole, and raises its sets' floors.
 	young, old     map[uint64]session
 	turnedAt       float64
 	reads, spills  [spillSlots]float64
 	slotAt         int64
 	customers      []share
-	followAt       float64
 	following      bool
+	followAt       float64
 	followFailures float64
 	spare          []int
 }
@@ -143,14 +141,13 @@
 		old: map[uint64]session{}, waitedAt: math.Inf(-1)}
 	r.gap = math.Inf(1)
 	for _, g := range s.Groups {
-		r.groups = append(r.groups, group{need: g.Need, effect: g.Effect, scope: g.Scope, target: g.Target,
-			benefit: g.Benefit, late: g.Late, bound: g.Bound, memory: g.Memory,
-			stretch: 1, weight: 1, room: g.Target, primaryRoom: g.Target})
+		r.groups = append(r.groups, group{CommandGroup: g, stretch: 1, weight: 1, room: g.Target,
+			primaryRoom: g.Target})
 		r.span, r.longest = math.Max(r.span, g.Target), math.Max(r.longest, g.Timeout)
-		if g.Need == NeedBound {
+		switch g.Need {
+		case NeedBound:
 			r.gap = math.Min(r.gap, g.Bound)
-		}
-		if g.Need == NeedSession {
+		case NeedSession:
 			r.gap = math.Min(r.gap, g.Target)
 		}
 	}
@@ -212,9 +209,8 @@
 // list service is not flooded when it can least bear it.
 func (r *Router) ListFailed(now float64) {
 	r.following = false
-	gap := askShare * r.site.AskWithin
+	gap := math.Min(askShare*r.site.AskWithin*math.Exp2(r.followFailures), r.site.AskWithin/2)
 	r.followFailures++
-	gap = math.Min(gap*math.Exp2(r.followFailures-1), r.site.AskWithin/2)
 	r.followAt = now + gap*(1+r.draw())/2
 }
 
@@ -284,7 +280,7 @@
 	}
 	at, spilled := r.choose(now, c, g)
 	// A keyed repeat may have to stay in its zone: it would not be known elsewhere.
-	if at < 0 || c.ran && g.effect == Keyed && g.scope == InZone && r.nodes[at].zone != r.nodes[c.ranOn].zone {
+	if at < 0 || c.ran && g.Effect == Keyed && g.Scope == InZone && r.nodes[at].zone != r.nodes[c.ranOn].zone {
 		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
 	}
 	return r.send(now, c, g, at, spilled)
@@ -293,11 +289,12 @@
 // admit notes what a command needs when it is first seen.
 func (r *Router) admit(now float64, c *Command, g *group) {
 	c.asked = true
+	r.cmds++
 	c.need = math.Inf(-1)
 	if !c.Repeat {
 		g.asked++
 	}
-	if g.need == NeedSession {
+	if g.Need == NeedSession {
 		s := r.session(c.Session)
 		c.need = math.Max(s.token, s.seen)
 		if c.Set >= 0 && c.Set < len(r.sets) {
@@ -332,11 +329,11 @@
 // the time after it.
 func (r *Router) horizon(c *Command, g *group) float64 {
 	if g.left > leaveShare {
-		return math.Min(c.Arrived+math.Min(g.target, g.stay), c.GiveUp)
+		return math.Min(c.Arrived+math.Min(g.Target, g.stay), c.GiveUp)
 	}
-	end := c.Arrived + g.target
-	if g.late > 0 && c.GiveUp > end {
-		end += g.late * (c.GiveUp - end)
+	end := c.Arrived + g.Target
+	if g.Late > 0 && c.GiveUp > end {
+		end += g.Late * (c.GiveUp - end)
 	}
 	return math.Min(end, c.GiveUp)
 }
@@ -346,21 +343,21 @@
 
 // mayGoAgain keeps rule 2: a repeat only of what is known not to have run, or within bounds.
 func (r *Router) mayGoAgain(now float64, c *Command, g *group) bool {
-	if !c.ran || g.effect == Replayable {
+	if !c.ran || g.Effect == Replayable {
 		return true
 	}
 	// A connection may still have to be made, so a repeat must leave by that much earlier.
-	return g.effect == Keyed && now+r.site.Dial+r.site.Tick < c.ranAt+g.memory
+	return g.Effect == Keyed && now+r.site.Dial+r.site.Tick < c.ranAt+g.Memory
 }
 
 // never is the final answer of a command given up: throttled where a retry does no harm.
 func (r *Router) never(now float64, c *Command, g *group) Answer {
-	if c.ran && (g.effect == Mutating || g.effect == Keyed && g.scope != Anywhere) {
+	if c.ran && (g.Effect == Mutating || g.Effect == Keyed && g.Scope != Anywhere) {
 		return Answer{Verdict: Fail, Recall: -1}
 	}
 	a := Answer{Verdict: Throttle, Recall: -1}
 	// A try that comes too late for the target should come late; one in time may come at once.
-	if r.site.Advice && now+2*r.least(g) > c.Arrived+g.target {
+	if r.site.Advice && now+2*r.least(g) > c.Arrived+g.Target {
 		a.ComeBack = r.site.MaxAdvice
 	}
 	return a
@@ -371,7 +368,7 @@
 
 // choose picks a node, or -1, and tells a read spilled onto the primary.
 func (r *Router) choose(now float64, c *Command, g *group) (at int, spilled bool) {
-	switch g.need {
+	switch g.Need {
 	case NeedWrite:
 		return r.chooseWriter(now, c, g), false
 	case NeedCurrent:
@@ -380,20 +377,19 @@
 		}
 		return r.pick(now, c, g, c.Arrived), false
 	case NeedBound:
-		c.need = now - g.bound
+		c.need = now - g.Bound
 	}
 	if at = r.pick(now, c, g, c.need); at >= 0 {
 		return at, false
 	}
 	p := r.primary(c.Set)
-	r.ask(now, c, p)
+	futile := !r.ask(now, c, p) || c.missed
 	open := p >= 0 && !r.doubted(now, p)
 	if open && r.maySpill(now) {
 		if at = r.fit(now, c, g, p, g.primaryRoom); at >= 0 {
 			return at, true
 		}
 	}
-	futile := c.missed || r.futile(now, c)
 	if r.site.Guarded && !futile {
 		if at = r.leastBehind(now, c, g); at >= 0 {
 			return at, false
@@ -408,7 +404,8 @@
 // ask has replicas of a set probed for a read that none is known to cover: few, and in an order of
 // this router's own, so that over all routers they are spread evenly and each hears a few well. Each
 // router among many hears a member rarely; keeping all fresh once cost more probes than commands.
-func (r *Router) ask(now float64, c *Command, primary int) {
+// It tells whether a replica can cover the read within the wait: else a wait only spends the target.
+func (r *Router) ask(now float64, c *Command, primary int) bool {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
 		if n := &r.nodes[i]; i != primary && n.usable() && !n.shunned && n.mayCover(now, c.need) {
@@ -417,12 +414,19 @@
 	}
 	for k := range min(newsOf, len(r.spare)) {
 		i := r.spare[(r.site.Me+k)%len(r.spare)]
-		n := &r.nodes[i]
-		if r.site.Probes && r.site.Reports && !n.probing && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
-			n.probing, n.probedAt = true, now
-			r.wanted = append(r.wanted, i)
+		if n := &r.nodes[i]; r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
+			r.probe(now, i)
 		}
 	}
+	return len(r.spare) > 0
+}
+
+// probe notes a probe for the upkeep that is due next.
+func (r *Router) probe(now float64, at int) {
+	if n := &r.nodes[at]; r.site.Probes && !n.probing {
+		n.probing, n.probedAt = true, now
+		r.wanted = append(r.wanted, at)
+	}
 }
 
 // mayCover says whether a member can have applied up to a position within the wait, even at twice
@@ -431,30 +435,14 @@
 	return math.IsInf(n.heardAt, -1) || need <= n.pos+2*(now+catchUp-n.heardAt)
 }
 
-// futile says that no replica can cover the position needed within the wait: with all of them
-// stalled a wait only spends the target.
-func (r *Router) futile(now float64, c *Command) bool {
-	for _, i := range r.sets[c.Set].nodes {
-		n := &r.nodes[i]
-		if n.role != RolePrimary && n.usable() && n.mayCover(now, c.need) {
-			return false
-		}
-	}
-	return true
-}
-
 // primary is the member whose own word for being the primary is the newest; the list counts
 // only for a member that was never heard, since it may be seconds late or frozen.
 func (r *Router) primary(s int) int {
 	best, bestAt := -1, math.Inf(-1)
 	for _, i := range r.sets[s].nodes {
-		n := &r.nodes[i]
-		if !n.usable() {
-			continue
-		}
-		if n.role == RolePrimary && n.roleAt > bestAt {
+		if n := &r.nodes[i]; n.usable() && n.role == RolePrimary && n.roleAt > bestAt {
 			best, bestAt = i, n.roleAt
-		} else if best < 0 && n.role == RoleUnknown && n.listPrimary {
+		} else if n.usable() && best < 0 && n.role == RoleUnknown && n.listPrimary {
 			best = i
 		}
 	}
@@ -480,6 +468,11 @@
 		}
 	}
 	if len(r.spare) == 0 {
+		// Few answers tell little, and there is no other primary.
+		if p >= 0 && r.lastHope(now, &r.nodes[p]) && r.coldRoom(now, p) {
+			r.nodes[p].trialAt = now + r.span
+			return p
+		}
 		return -1
 	}
 	at := r.spare[r.chance(len(r.spare))]
@@ -491,13 +484,26 @@
 // narrowed to those that answer (a hung one keeps its position) and are not crowded.
 func (r *Router) pick(now float64, c *Command, g *group, need float64) int {
 	trial := r.qualify(now, c, g, need)
-	if trial >= 0 && now-c.Arrived < crowdSlack*g.target && now-r.triedAt >= r.tryGap {
-		r.nodes[trial].trialAt, r.triedAt = now+r.span, now
+	if trial < 0 {
+		return r.spread(now, c, g)
+	}
+	n := &r.nodes[trial]
+	// What was out of reach is left to probes. Where all are doubted the one that failed longest ago is
+	// taken, or many bad members at once would leave nobody to send to, and nobody to learn from.
+	due := now >= n.trialAt && now-c.Arrived < crowdSlack*g.Target && now-r.triedAt >= r.tryGap &&
+		(math.IsInf(n.downAt, 1) || !r.site.Probes)
+	if due || len(r.spare) == 0 && r.lastHope(now, n) {
+		n.trialAt, r.triedAt = now+r.span, now
 		return trial
 	}
 	return r.spread(now, c, g)
 }
 
+// lastHope says that a doubted node may be asked for want of a better one.
+func (r *Router) lastHope(now float64, n *node) bool {
+	return n.out == 0 && math.IsInf(n.downAt, 1) && now >= n.trialAt-(1-lastResort)*r.span
+}
+
 // leastBehind serves sites whose replicas check reads themselves.
 func (r *Router) leastBehind(now float64, c *Command, g *group) int {
 	r.qualify(now, c, g, math.Inf(-1))
@@ -509,8 +515,8 @@
 	return r.spread(now, c, g)
 }
 
-// qualify makes the spare nodes those that may take a read of the position needed. It returns a
-// doubted node that is due for a trial, or -1: a doubted primary too, whose data is excused.
+// qualify makes the spare nodes those that may take a read of the position needed. It returns the
+// doubted node that is due for a trial first, or -1: a doubted primary too, whose data is excused.
 func (r *Router) qualify(now float64, c *Command, g *group, need float64) int {
 	p, trial := r.primary(c.Set), -1
 	r.spare = r.spare[:0]
@@ -522,8 +528,7 @@
 		}
 		if !doubted {
 			r.spare = append(r.spare, i)
-		} else if now >= n.trialAt && n.out == 0 && g.effect == Replayable &&
-			(math.IsInf(n.downAt, 1) || !r.site.Probes) { // what was out of reach is left to probes
+		} else if n.out == 0 && g.Effect == Replayable && (trial < 0 || n.trialAt < r.nodes[trial].trialAt) {
 			trial = i
 		}
 	}
@@ -542,7 +547,7 @@
 		return -1
 	}
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
-		return r.sojourn(i, g) > best+crowdSlack*g.target
+		return r.sojourn(i, g) > best+crowdSlack*g.Target
 	})
 	return r.spare[r.chance(len(r.spare))]
 }
@@ -678,7 +683,7 @@
 	n.out++
 	n.sent++
 	n.budget = math.Max(0, n.budget-1)
-	if g.need != NeedWrite && len(c.Legs) == 1 {
+	if g.Need != NeedWrite && len(c.Legs) == 1 {
 		r.turnSlots(now)
 		r.reads[r.slotAt%spillSlots]++
 		if spilled {
@@ -686,10 +691,10 @@
 		}
 	}
 	until := c.GiveUp
-	if g.effect == Replayable && g.late == 0 {
-		until = math.Min(until, c.Arrived+g.target)
+	if g.Effect == Replayable && g.Late == 0 {
+		until = math.Min(until, c.Arrived+g.Target)
 	}
-	if !r.site.Cancel && g.effect == Replayable { // else a hang could not be left in time
+	if !r.site.Cancel && g.Effect == Replayable { // else a hang could not be left in time
 		until = math.Min(until, now+2*r.patience(n))
 	}
 	return Answer{Verdict: Send, Node: at, Until: until, Recall: -1,
@@ -715,7 +720,7 @@
 		l.lost = true
 		n.out--
 	}
-	if r.site.Cancel && l.late && !l.recall && g.effect != Mutating && len(c.Legs) < r.site.Tries &&
+	if r.site.Cancel && l.late && !l.recall && g.Effect != Mutating && len(c.Legs) < r.site.Tries &&
 		r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
 		l.recall = true
 		a.Recall = i
@@ -725,12 +730,9 @@
 
 // elsewhere says whether another member may take a command that is called off.
 func (r *Router) elsewhere(now float64, c *Command, g *group, at int) bool {
-	if g.need == NeedWrite {
-		p := r.primary(c.Set)
-		return p >= 0 && p != at && !r.doubted(now, p)
-	}
+	p := r.primary(c.Set)
 	for _, i := range r.sets[c.Set].nodes {
-		if i != at && r.nodes[i].usable() && !r.doubted(now, i) {
+		if i != at && (g.Need != NeedWrite || i == p) && r.nodes[i].usable() && !r.doubted(now, i) {
 			return true
 		}
 	}
@@ -780,7 +782,7 @@
 		n.unheard = 0
 		r.revive(now, n)
 		position := o.Position
-		if g.need == NeedWrite && o.Ending == Answered {
+		if g.Need == NeedWrite && o.Ending == Answered {
 			position = -1 // the commit's, not the node's
 		}
 		r.tell(n, now, position, o.Role)
@@ -797,11 +799,11 @@
 		}
 	case Full: // a failure like others: a host that turns all away at once would look idle and draw more
 		r.blame(now, n)
-		r.measure(g, n, l, math.Max(o.Took, g.target))
+		r.measure(g, n, l, math.Max(o.Took, g.Target))
 	case Missed:
 		n.all++
-		c.missed = c.missed || g.need != NeedWrite
-		if o.Role == RoleUnknown && g.need == NeedWrite {
+		c.missed = c.missed || g.Need != NeedWrite
+		if o.Role == RoleUnknown && g.Need == NeedWrite {
 			r.tell(n, now, -1, RoleReplica)
 		}
 	}
@@ -834,7 +836,7 @@
 func (r *Router) learn(now float64, c *Command, g *group, n *node, l *Leg, o Outcome) {
 	r.measure(g, n, l, o.Took)
 	g.left -= groupWeight * g.left
-	if now <= c.Arrived+g.target {
+	if now <= c.Arrived+g.Target {
 		g.answered++
 	}
 	n.all++
@@ -856,9 +858,9 @@
 	r.places += groupWeight * (float64(l.ahead+1) - r.places)
 	at, s := r.site.ZeroAt+o.Position, r.session(c.Session)
 	switch {
-	case c.Session == 0 || g.need != NeedWrite && (g.need != NeedSession || o.Position < 0):
+	case c.Session == 0 || g.Need != NeedWrite && (g.Need != NeedSession || o.Position < 0):
 		return
-	case g.need == NeedSession:
+	case g.Need == NeedSession:
 		s.seen = math.Max(s.seen, at)
 	case o.Position < 0:
 		at = now
@@ -877,39 +879,31 @@
 		up.Follow = true
 		r.followAt = now + r.site.AskWithin/2
 	}
-	up.Probe, r.wanted = append(up.Probe, r.wanted...), r.wanted[:0]
-	if now-r.waitedAt < r.gap/2 {
-		return r.waitedAt + r.gap/2 - now, up
-	}
-	// What clients left must be seen again and again: commands throttled before then tell nothing.
-	for i := range r.groups {
-		r.groups[i].left *= math.Exp((r.waitedAt - now) / r.fade)
-	}
-	r.waitedAt = now
-	r.weigh(now)
-	r.forget(now)
-	if r.site.Probes {
+	if now-r.waitedAt >= r.gap/2 {
+		// What clients left must be seen again and again: commands throttled before then tell nothing.
+		for i := range r.groups {
+			r.groups[i].left *= math.Exp((r.waitedAt - now) / r.fade)
+		}
+		r.cmds *= math.Exp((r.waitedAt - now) / r.fade)
+		r.waitedAt = now
+		r.weigh(now)
+		r.forget(now)
 		for i := range r.nodes {
 			if r.probeDue(now, i) {
-				n := &r.nodes[i]
-				n.probing, n.probedAt = true, now
-				up.Probe = append(up.Probe, i)
+				r.probe(now, i)
 			}
 		}
 	}
-	return r.gap / 2, up
+	up.Probe, r.wanted = append(up.Probe, r.wanted...), r.wanted[:0]
+	return r.waitedAt + r.gap/2 - now, up
 }
 
 // probeDue asks for a position that was not told lately, or a sign of life from a doubted node.
 func (r *Router) probeDue(now float64, at int) bool {
 	n := &r.nodes[at]
-	if !n.usable() || n.probing {
-		return false
-	}
-	if r.doubted(now, at) {
-		return now-n.probedAt >= r.retry
-	}
-	return r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= r.look
+	since, doubted := now-n.probedAt, r.doubted(now, at)
+	return n.usable() && (doubted && since >= r.retry ||
+		!doubted && r.site.Reports && math.Min(since, now-n.heardAt) >= r.look)
 }
 
 // weigh brings the fleet's figures up to date: the median share of failures, a warm node's
@@ -926,8 +920,7 @@
 		shares = append(shares, n.failing())
 		if n.shunned {
 			shunned++
-		}
-		if now-n.started >= r.site.WarmIn {
+		} else if now-n.started >= r.site.WarmIn {
 			rate += n.sent / r.fade
 			warm++
 		}
@@ -936,13 +929,13 @@
 		slices.Sort(shares)
 		r.median = shares[(len(shares)-1)/2]
 	}
-	if warm > 0 {
-		r.warmRate = rate / warm
+	if warm > 0 { // it falls no faster than a node warms: where most is doubted little is sent
+		r.warmRate = math.Max(rate/warm, r.warmRate*(1-r.gap/r.site.WarmIn))
 	}
-	budget := probeShare * math.Max(rate, 1/r.longest)
-	r.look = math.Max(r.gap, float64(len(shares))/budget)
-	r.retry = math.Max(r.span/2, shunned/budget)
-	r.tryGap = 1 / (trialShare * math.Max(rate, 1/r.longest))
+	every := 1 / math.Max(r.cmds/r.fade, 1/r.longest)
+	r.look = math.Max(r.gap, float64(len(shares))*every/probeShare)
+	r.retry = math.Max(r.span/2, shunned*every/probeShare)
+	r.tryGap = every / trialShare
 	r.recent = math.Max(r.span, math.Min(evidence/r.warmRate, r.longest*sessionSpans))
 	r.favour()
 	for i := range r.groups {
@@ -958,21 +951,21 @@
 		g := &r.groups[i]
 		g.weight = 1
 		served := (g.answered + priorWeight) / (g.asked + priorWeight)
-		sum += g.answered * g.benefit
-		benefit += g.asked * g.benefit
+		sum += g.answered * g.Benefit
+		benefit += g.asked * g.Benefit
 		if served < least {
 			worst, least = i, served
 		}
 	}
 	if worst >= 0 && least < sum/math.Max(benefit, 1) && r.site.Whole > 0 {
 		g := &r.groups[worst]
-		g.weight += r.site.Worst * benefit / (r.site.Whole * g.asked * g.benefit)
+		g.weight += r.site.Worst * benefit / (r.site.Whole * g.asked * g.Benefit)
 	}
 }
 
 // density is a command group's benefit for its work.
 func (r *Router) density(g *group) float64 {
-	return g.weight * g.benefit / math.Max(g.work, r.site.Tick+roundOff)
+	return g.weight * g.Benefit / math.Max(g.work, r.site.Tick+roundOff)
 }
 
 // roomOf is the queueing time that a group may meet: what the groups of at least its density
@@ -982,13 +975,13 @@
 	room, top, own := math.Inf(1), roundOff, r.density(g)
 	for k := range r.groups {
 		h := &r.groups[k]
-		if h.need == NeedWrite && !primary {
+		if h.Need == NeedWrite && !primary {
 			continue
 		}
 		d := r.density(h)
 		top = math.Max(top, d)
 		if d >= own {
-			room = math.Min(room, math.Max(0, h.target-h.work))
+			room = math.Min(room, math.Max(0, h.Target-h.work))
 		}
 	}
 	return roomShare * room * (lowCut + (1-lowCut)*math.Min(1, own/top))
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -153,7 +153,7 @@
 	assert.True(t, r.mayGoAgain(11.7, c, &r.groups[gWrite]))
 	assert.False(t, r.mayGoAgain(11.75, c, &r.groups[gWrite]), "a connection may take as long as Dial")
 	assert.Equal(t, Fail, r.never(11.9, c, &r.groups[gWrite]).Verdict, "known in its own group only")
-	r.groups[gWrite].scope = Anywhere
+	r.groups[gWrite].Scope = Anywhere
 	assert.Equal(t, Throttle, r.never(11.9, c, &r.groups[gWrite]).Verdict)
 }
 
@@ -293,6 +293,44 @@
 	assert.True(t, r.doubted(10, 1))
 }
 
+// Forty routers once doubted all members of all sets, and with nothing sent nothing was learnt.
+func TestWhereAllAreDoubtedOneIsAsked(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i := range r.nodes {
+		r.nodes[i].shunned, r.nodes[i].trialAt = true, 10.6-float64(i)/10
+	}
+	r.triedAt, r.tryGap = 10, 100
+	assert.Equal(t, 2, r.Place(10.1, command(gAny)).Node, "the one that failed longest ago")
+	assert.Equal(t, Hold, r.Place(10.1, command(gAny)).Verdict, "one dispatch at a time, not too soon")
+}
+
+// A router that hears a member every few seconds doubted it after a single failure.
+func TestOneFailureAloneDoubtsNobody(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.recent = 5
+	r.blame(10, &r.nodes[1])
+	assert.False(t, r.doubted(10, 1))
+	r.blame(12, &r.nodes[1])
+	assert.True(t, r.doubted(12, 1), "two are remembered where dispatches are rare")
+}
+
+// A hundred routers once probed every member at the tightest bound.
+func TestProbesFollowTheRoutersOwnTraffic(t *testing.T) {
+	s := testSite()
+	s.Routers, s.Me = 100, 3
+	r := testRouter(t, s)
+	_, up := r.Wait(11)
+	assert.Empty(t, up.Probe, "no commands, no upkeep probes")
+	c := command(gBound)
+	c.Arrived, c.GiveUp = 11, 13
+	r.Place(11, c)
+	_, up = r.Wait(11)
+	assert.Equal(t, []int{2, 1}, up.Probe, "a read asks for them, in an order of the router's own")
+	r.Place(11.05, c)
+	_, up = r.Wait(11.05)
+	assert.Empty(t, up.Probe)
+}
+
 func TestHealthIsAgainstTheFleetsMedian(t *testing.T) {
 	r := testRouter(t, testSite())
 	for i := range r.nodes {
@@ -323,7 +361,7 @@
 func TestNothingIsSentPastItsHorizon(t *testing.T) {
 	r := testRouter(t, testSite())
 	assert.Equal(t, Throttle, r.Place(10.6, command(gAny)).Verdict)
-	r.groups[gWrite].late = 0.5
+	r.groups[gWrite].Late = 0.5
 	assert.Equal(t, Send, r.Place(10.6, command(gWrite)).Verdict, "late benefit is worth having")
 }
 
@@ -347,7 +385,7 @@
 	for i := range r.groups {
 		r.groups[i].work = 0.05
 	}
-	r.groups[gAny].work, r.groups[gAny].target = 0.1, 2
+	r.groups[gAny].work, r.groups[gAny].Target = 0.1, 2
 	assert.Less(t, r.roomOf(gAny, false), r.roomOf(gBound, false))
 	assert.Less(t, r.roomOf(gBound, true), r.roomOf(gWrite, true), "the write has the most benefit")
 	r.base = 0.05
