Current reads fall back like session reads; an old lag keeps no read off replicas that check

Cause: with 127 routers a primary is often unknown to a router and a replica's last lag seconds old; current reads were refused for want of a primary and bounded ones crowded onto the replica last heard least behind. Harm: where lags last, reads meet more turned-away tries.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -250,10 +250,9 @@
 
 func (n *node) unreached(now float64) { n.downAt, n.lostAt = math.Min(n.downAt, now), now }
 
-// revive sees a node answer that was out of reach for longer than chance: it may have started
-// anew before any list says so, and counts as cold. Two failed contacts must lie that far apart:
-// a router among many hears so rarely that one lost probe made warm primaries cold. Harm: a node
-// behind a broken link counts as cold too.
+// revive sees a node answer that was out of reach for longer than chance: it may have started anew
+// before any list says so, and counts as cold. Two failed contacts must lie that far apart, or one lost
+// probe makes rarely heard primaries cold. Harm: a node behind a broken link counts as cold too.
 func (r *Router) revive(now float64, n *node) {
 	if n.lostAt-n.downAt > r.span {
 		n.started = math.Max(n.started, now)
@@ -275,7 +274,7 @@
 		}
 	}
 	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
-		!r.mayGoAgain(now, c, g) || now+r.least(g) > r.horizon(c, g) {
+		!r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) {
 		return r.never(now, c, g)
 	}
 	at, spilled := r.choose(now, c, g)
@@ -338,9 +337,6 @@
 	return math.Min(end, c.GiveUp)
 }
 
-// least is the time that an answer takes at best.
-func (r *Router) least(g *group) float64 { return g.work * (1 - crowdSlack) }
-
 // mayGoAgain keeps rule 2: a repeat only of what is known not to have run, or within bounds.
 func (r *Router) mayGoAgain(now float64, c *Command, g *group) bool {
 	if !c.ran || g.Effect == Replayable {
@@ -357,7 +353,7 @@
 	}
 	a := Answer{Verdict: Throttle, Recall: -1}
 	// A try that comes too late for the target should come late; one in time may come at once.
-	if r.site.Advice && now+2*r.least(g) > c.Arrived+g.Target {
+	if r.site.Advice && now+2*g.work*(1-crowdSlack) > c.Arrived+g.Target {
 		a.ComeBack = r.site.MaxAdvice
 	}
 	return a
@@ -375,7 +371,7 @@
 		if p := r.primary(c.Set); p >= 0 && !r.doubted(now, p) {
 			return r.fit(now, c, g, p, g.primaryRoom), false
 		}
-		return r.pick(now, c, g, c.Arrived), false
+		c.need = c.Arrived // a replica that covers it will do
 	case NeedBound:
 		c.need = now - g.Bound
 	}
@@ -401,10 +397,9 @@
 	return -1, false
 }
 
-// ask has replicas of a set probed for a read that none is known to cover: few, and in an order of
-// this router's own, so that over all routers they are spread evenly and each hears a few well. Each
-// router among many hears a member rarely; keeping all fresh once cost more probes than commands.
-// It tells whether a replica can cover the read within the wait: else a wait only spends the target.
+// ask has replicas of a set probed for a read that none is known to cover: few, in an order of this
+// router's own, so that all routers spread evenly and each hears a few well. Keeping all fresh cost many
+// routers more probes than commands. It tells whether any can cover the read within the wait.
 func (r *Router) ask(now float64, c *Command, primary int) bool {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
@@ -509,12 +504,20 @@
 	r.qualify(now, c, g, math.Inf(-1))
 	least := math.Inf(1)
 	for _, i := range r.spare {
-		least = math.Min(least, r.nodes[i].lag)
+		least = math.Min(least, r.behind(now, i))
 	}
-	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.nodes[i].lag > least+catchUp/2 })
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.behind(now, i) > least+catchUp/2 })
 	return r.spread(now, c, g)
 }
 
+// behind is how far a replica lagged lately; one not heard of late may have caught up since.
+func (r *Router) behind(now float64, at int) float64 {
+	if n := &r.nodes[at]; now-n.heardAt <= r.span {
+		return n.lag
+	}
+	return 0
+}
+
 // qualify makes the spare nodes those that may take a read of the position needed. It returns the
 // doubted node that is due for a trial first, or -1: a doubted primary too, whose data is excused.
 func (r *Router) qualify(now float64, c *Command, g *group, need float64) int {
@@ -803,9 +806,6 @@
 	case Missed:
 		n.all++
 		c.missed = c.missed || g.Need != NeedWrite
-		if o.Role == RoleUnknown && g.Need == NeedWrite {
-			r.tell(n, now, -1, RoleReplica)
-		}
 	}
 	switch o.Ending {
 	case TimedOut, Recalled:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -94,6 +94,20 @@
 	assert.Equal(t, 0, a.Node, "turned away as too far behind, it goes to the primary")
 }
 
+// With 127 routers a primary was often unknown, and what was heard of replicas seconds old.
+func TestCurrentReadWithoutAPrimary(t *testing.T) {
+	s := testSite()
+	s.Guarded = true
+	r := testRouter(t, s)
+	r.nodes[0].role = RoleReplica
+	for i := range r.nodes {
+		r.nodes[i].lag = float64(i)
+	}
+	assert.Equal(t, 0, r.Place(10.2, command(gCurrent)).Node, "the least behind checks it itself")
+	assert.Equal(t, 1.0, r.behind(10.2, 1))
+	assert.Zero(t, r.behind(11, 1), "it may have caught up since")
+}
+
 func TestFreshRouterCountsUnheardAsNotQualifying(t *testing.T) {
 	r := New(testSite(), 1)
 	r.Listed(10, []Listing{listed(0), listed(1)}, true, true)
