Pace and health are kept over eight and two rare dispatches to a node

Cause: with under one dispatch to a node in three seconds its record was empty each time it was asked for, and every node looked like the fleet's mean. Where dispatches are not rare nothing changes. Harm: a change of pace or health at a rarely used node is forgotten some seconds later.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,12 +24,12 @@
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	shareDepth   = 4       // commands of a customer that may come at once within its share at one router
-	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one
+	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one,
+	evidence     = 2       // or in the time of so many dispatches to it, where these are rare
 	quietAlone   = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
 	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
 	failMargin   = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
-	evidence     = 2       // dispatches to a node over which its health is kept at least
 	trialShare   = 0.1     // of this router's commands may be trials of doubted nodes
 	lastResort   = 0.25    // of the longest target after a failure until a doubted node is better than none
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
@@ -155,7 +155,7 @@
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.poll = math.Max(s.Tick, pollShare*catchUp)
-	r.fade, r.recent = memorySpan*r.span, r.span
+	r.fade = memorySpan * r.span
 	r.customers = slices.Repeat([]share{{left: shareDepth}}, len(s.Customers))
 	return r
 }
@@ -623,7 +623,7 @@
 
 func (r *Router) fadeNode(now float64, n *node) {
 	if now > n.fadedAt {
-		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp((n.fadedAt-now)/r.recent)
+		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp(memorySpan*(n.fadedAt-now)/r.fade)
 		n.lat, n.places, n.done, n.sent = n.lat*f, n.places*f, n.done*f, n.sent*f
 		n.bad, n.all = n.bad*quick, n.all*quick
 		n.fadedAt = now
@@ -936,7 +936,7 @@
 	r.look = math.Max(r.gap, float64(len(shares))*every/probeShare)
 	r.retry = math.Max(r.span/2, shunned*every/probeShare)
 	r.tryGap = every / trialShare
-	r.recent = math.Max(r.span, math.Min(evidence/r.warmRate, r.longest*sessionSpans))
+	r.fade = memorySpan * math.Max(r.span, math.Min(evidence/r.warmRate, r.longest))
 	r.favour()
 	for i := range r.groups {
 		r.groups[i].room = r.roomOf(i, false)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -321,7 +321,7 @@
 // A router that hears a member every few seconds doubted it after a single failure.
 func TestOneFailureAloneDoubtsNobody(t *testing.T) {
 	r := testRouter(t, testSite())
-	r.recent = 5
+	r.fade = 5 * memorySpan
 	r.blame(10, &r.nodes[1])
 	assert.False(t, r.doubted(10, 1))
 	r.blame(12, &r.nodes[1])
