--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,10 +1,9 @@
 // Package router decides where each command of a sharded, replicated database goes.
 //
-// How it is called: New takes a Site and a seed. Place answers where to send a command (or not
-// yet, or never), After what to do once a dispatch has ended, Wait how long until the next look
-// and which upkeep is due. Listed, ListFailed and Probed feed facts in. All values that go in or
-// out are plain and stand in types.go; times are seconds on one clock, ids are small indices.
-// The caller keeps timers and commands in hand and decides nothing. docs/design.md has the why.
+// How it is called: New takes a Site and a seed. Place answers where to send a command (or not yet, or
+// never), After what to do once a dispatch has ended, Wait how long until the next look and which upkeep is
+// due. Listed, ListFailed, Probed and Left feed facts in. Values that go in or out are plain and stand in
+// types.go; times are seconds, ids small indices. The caller decides nothing. docs/design.md has the why.
 package router
 
 import (
@@ -54,6 +53,7 @@
 	CommandGroup
 	work              float64 // mean time of an answer without a queue
 	batch, batched    float64 // answers since work was last weighed: time, number
+	weighed           bool    // a whole batch was
 	left, stay        float64 // share of clients that leave early; after how long
 	stretch           float64 // its answer times over what queues alone foretell
 	room, primaryRoom float64 // queueing time that it may meet, by benefit
@@ -112,6 +112,7 @@
 	gap               float64 // between two looks at a node: the tightest bound or session target
 	poll              float64
 	lat               float64 // fleet's mean answer time
+	heard             float64 // answers so far
 	places            float64 // and of this router's places in a queue
 	base              float64 // fleet's mean work
 	median            float64 // fleet's median share of failures
@@ -844,18 +845,17 @@
 	// The least mean time lately is the work: under load every answer holds a queue too.
 	g.batch += o.Took
 	g.batched++
-	if mean := g.batch / g.batched; g.work == 0 {
-		g.work = mean
+	if mean := g.batch / g.batched; !g.weighed {
+		g.work, g.weighed = mean, g.batched >= workBatch
 	} else if g.batched >= workBatch {
 		g.work = math.Min(mean, g.work+workDrift*(mean-g.work))
 		g.batch, g.batched = 0, 0
 	}
-	if r.base == 0 {
-		r.base, r.lat, r.places = o.Took, o.Took, 1
-	}
-	r.base += groupWeight * (g.work - r.base)
-	r.lat += groupWeight * (o.Took - r.lat)
-	r.places += groupWeight * (float64(l.ahead+1) - r.places)
+	r.heard++ // the first answers count alike, or the first alone would stand for minutes
+	w := math.Max(groupWeight, 1/r.heard)
+	r.base += w * (g.work - r.base)
+	r.lat += w * (o.Took - r.lat)
+	r.places += w * (float64(l.ahead+1) - r.places)
 	at, s := r.site.ZeroAt+o.Position, r.session(c.Session)
 	switch {
 	case c.Session == 0 || g.Need != NeedWrite && (g.Need != NeedSession || o.Position < 0):
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -439,6 +439,17 @@
 	assert.InDelta(t, 0.15, g.work, 0.06)
 }
 
+// The first answer alone once stood for a group's work for minutes: at three commands a second the
+// least mean drifts up too slowly to mend a lucky one.
+func TestFirstAnswersCountAlike(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i, took := range []float64{0.01, 0.2, 0.2, 0.2} {
+		r.learn(10, command(gAny), &r.groups[gAny], &r.nodes[1], &Leg{Node: 1}, Outcome{Took: took, Position: -1})
+		assert.InDelta(t, (0.01+0.2*float64(i))/float64(i+1), r.groups[gAny].work, 1e-9)
+		assert.InDelta(t, r.groups[gAny].work, r.lat, 1e-9)
+	}
+}
+
 // Clients that leave long before their time cost work that nobody waits for.
 func TestLeavingClientsShortenTheHorizon(t *testing.T) {
 	r := testRouter(t, testSite())
