Standing connections are preferred, and kept, where new ones are dear

Told by counting endings by the one before at the same host: nearly no failed connection followed an answer, nearly all a time-out, a call-off or a failure, or a second dispatch beside another; the hosts themselves answered as ever. The router reckons its open connections and what a new one costs beyond an answer; while that is over a tenth of the longest target, dispatches run to the client timeout and are not called off. Harm: a command that hangs then holds its command until the client timeout.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 	role                        Role    // by its own word
 	roleAt                      float64
 	out                         int
+	idle                        int     // connections that should stand open without a dispatch
 	unheard                     int     // dispatches since its last answer
 	since                       float64 // when the first of those was sent
 	fadedAt                     float64
@@ -79,7 +80,6 @@
 	sent                        float64 // fading number of dispatches
 	lastGood                    float64
 	trialAt, testAt             float64
-	probing                     bool
 	probedAt                    float64
 	budget, budgetAt            float64 // dispatches that a cold node may still get
 	shunned                     bool    // was doubted, and has not answered since
@@ -106,16 +106,15 @@
 	nodes             []node
 	sets              []set
 	z, w              uint32
-	span              float64 // the longest response target
-	longest           float64 // the longest client timeout
+	span, longest     float64 // the longest response target, and client timeout
 	fade              float64 // over which records fade
 	gap               float64 // between two looks at a node: the tightest bound or session target
-	poll              float64
 	lat               float64 // fleet's mean answer time
 	heard             float64 // answers so far
 	places            float64 // and of this router's places in a queue
 	base              float64 // fleet's mean work
 	median            float64 // fleet's median share of failures
+	dial              float64 // what a new connection costs, in time beyond an answer's
 	warmRate          float64 // dispatches a second that a warm node gets from this router
 	cmds              float64 // fading number of commands
 	look              float64 // between two probes of a member that is not heard,
@@ -155,7 +154,6 @@
 	r.site.Routers, r.site.Tries = max(1, s.Routers), max(1, s.Tries)
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
-	r.poll = math.Max(s.Tick, pollShare*catchUp)
 	r.fade = memorySpan * r.span
 	r.customers = slices.Repeat([]share{{left: shareDepth}}, len(s.Customers))
 	return r
@@ -218,7 +216,6 @@
 // Probed takes in a probe's result. Only its report speaks for the node's data.
 func (r *Router) Probed(now float64, at int, ok bool, took, position float64, primary bool) {
 	n := &r.nodes[at]
-	n.probing = false
 	if !ok {
 		n.unreached(now)
 		return
@@ -281,7 +278,7 @@
 	at, spilled := r.choose(now, c, g)
 	// A keyed repeat may have to stay in its zone: it would not be known elsewhere.
 	if at < 0 || c.ran && g.Effect == Keyed && g.Scope == InZone && r.nodes[at].zone != r.nodes[c.ranOn].zone {
-		return Answer{Verdict: Hold, Again: now + r.poll, Recall: -1}
+		return Answer{Verdict: Hold, Again: now + math.Max(r.site.Tick, pollShare*catchUp), Recall: -1}
 	}
 	return r.send(now, c, g, at, spilled)
 }
@@ -332,10 +329,7 @@
 		return math.Min(c.Arrived+math.Min(g.Target, g.stay), c.GiveUp)
 	}
 	end := c.Arrived + g.Target
-	if g.Late > 0 && c.GiveUp > end {
-		end += g.Late * (c.GiveUp - end)
-	}
-	return math.Min(end, c.GiveUp)
+	return math.Min(end+g.Late*math.Max(0, c.GiveUp-end), c.GiveUp)
 }
 
 // mayGoAgain keeps rule 2: a repeat only of what is known not to have run, or within bounds.
@@ -419,8 +413,8 @@
 
 // probe notes a probe for the upkeep that is due next.
 func (r *Router) probe(now float64, at int) {
-	if n := &r.nodes[at]; r.site.Probes && !n.probing {
-		n.probing, n.probedAt = true, now
+	if r.site.Probes {
+		r.nodes[at].probedAt = now
 		r.wanted = append(r.wanted, at)
 	}
 }
@@ -598,7 +592,11 @@
 // sojourn foretells a node's answer time for a command group.
 func (r *Router) sojourn(at int, g *group) float64 {
 	n := &r.nodes[at]
-	return math.Max(g.work, r.pace(n, n.out)*g.stretch)
+	t := math.Max(g.work, r.pace(n, n.out)*g.stretch)
+	if n.idle == 0 {
+		t += r.dial
+	}
+	return t
 }
 
 // doubted says that a node takes work and answers none, or fails more than the fleet does.
@@ -682,7 +680,8 @@
 		n.since = now
 	}
 	n.unheard++
-	c.Legs = append(c.Legs, Leg{Node: at, Sent: now, Out: true, ahead: n.out})
+	c.Legs = append(c.Legs, Leg{Node: at, Sent: now, Out: true, ahead: n.out, fresh: n.idle == 0})
+	n.idle = max(0, n.idle-1)
 	r.fadeNode(now, n)
 	n.out++
 	n.sent++
@@ -695,12 +694,9 @@
 		}
 	}
 	until := c.GiveUp
-	if g.Effect == Replayable && g.Late == 0 {
+	if g.Effect == Replayable && g.Late == 0 && r.dial < crowdSlack*r.span {
 		until = math.Min(until, c.Arrived+g.Target)
 	}
-	if !r.site.Cancel && g.Effect == Replayable { // else a hang could not be left in time
-		until = math.Min(until, now+2*r.patience(n))
-	}
 	return Answer{Verdict: Send, Node: at, Until: until, Recall: -1,
 		Again: now + math.Min(r.patience(n), lostAfter*r.sojourn(at, g)) + r.site.Tick}
 }
@@ -724,8 +720,8 @@
 		l.lost = true
 		n.out--
 	}
-	if r.site.Cancel && l.late && !l.recall && g.Effect != Mutating && len(c.Legs) < r.site.Tries &&
-		r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
+	if r.site.Cancel && l.late && !l.recall && r.dial < crowdSlack*r.span && g.Effect != Mutating &&
+		len(c.Legs) < r.site.Tries && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
 		l.recall = true
 		a.Recall = i
 	}
@@ -780,6 +776,7 @@
 	r.fadeNode(now, n)
 	switch o.Ending {
 	case Answered, Errored, Full, Missed:
+		n.idle++
 		if n.shunned && o.Ending != Full {
 			n.shunned, n.bad = false, n.bad/2
 		}
@@ -791,6 +788,11 @@
 		}
 		r.tell(n, now, position, o.Role)
 	}
+	// Where new connections are slow and costly those that stand are worth more than an even spread;
+	// a dispatch that ran out of time or was called off loses its own.
+	if l.fresh && o.Ending == Answered || o.Ending == Unreached {
+		r.dial += 4 * groupWeight * (math.Max(0, o.Took-r.mean(n)) - r.dial)
+	}
 	switch o.Ending {
 	case Answered:
 		r.learn(now, c, g, n, l, o)
@@ -884,12 +886,16 @@
 		for i := range r.groups {
 			r.groups[i].left *= math.Exp((r.waitedAt - now) / r.fade)
 		}
+		r.dial *= math.Exp((r.waitedAt - now) / r.fade)
 		r.cmds *= math.Exp((r.waitedAt - now) / r.fade)
 		r.waitedAt = now
 		r.weigh(now)
 		r.forget(now)
 		for i := range r.nodes {
-			if r.probeDue(now, i) {
+			// A position that was not told lately, or a sign of life from a doubted node.
+			n, doubted := &r.nodes[i], r.doubted(now, i)
+			if n.usable() && (doubted && now-n.probedAt >= r.retry || !doubted && r.site.Reports &&
+				now-math.Max(n.heardAt, n.probedAt) >= r.look) {
 				r.probe(now, i)
 			}
 		}
@@ -898,14 +904,6 @@
 	return r.waitedAt + r.gap/2 - now, up
 }
 
-// probeDue asks for a position that was not told lately, or a sign of life from a doubted node.
-func (r *Router) probeDue(now float64, at int) bool {
-	n := &r.nodes[at]
-	since, doubted := now-n.probedAt, r.doubted(now, at)
-	return n.usable() && (doubted && since >= r.retry ||
-		!doubted && r.site.Reports && math.Min(since, now-n.heardAt) >= r.look)
-}
-
 // weigh brings the fleet's figures up to date: the median share of failures, a warm node's
 // rate, and each command group's share of its target by benefit for work.
 func (r *Router) weigh(now float64) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -450,6 +450,23 @@
 	}
 }
 
+// With slow handshakes each dispatch that ran out of time lost a connection that could not be replaced.
+func TestStandingConnectionsAreKeptWhereNewOnesAreDear(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.lat = 0.05
+	c := command(gAny)
+	c.Legs, c.asked = []Leg{{Node: 1, Sent: 10, Out: true, fresh: true}}, true
+	r.After(10.25, c, Outcome{Ending: Answered, Took: 0.25, Position: -1, Over: true})
+	assert.InDelta(t, 0.2*(0.25-0.05), r.dial, 1e-9)
+	assert.Equal(t, 1, r.nodes[1].idle, "its connection stands")
+	r.dial = 0.2
+	for range 5 {
+		assert.Equal(t, 1, r.pick(10.3, command(gAny), &r.groups[gAny], 0), "node 2 has none")
+	}
+	assert.Equal(t, 12.0, r.Place(10.3, command(gAny)).Until, "nor is it lost at the target")
+	assert.Zero(t, r.nodes[1].idle)
+}
+
 // Clients that leave long before their time cost work that nobody waits for.
 func TestLeavingClientsShortenTheHorizon(t *testing.T) {
 	r := testRouter(t, testSite())
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -121,6 +121,7 @@
 	Sent   float64
 	Out    bool
 	ahead  int  // own dispatches out at the node when it was sent
+	fresh  bool // needed a new connection
 	late   bool // counted as overdue
 	recall bool // called off
 	lost   bool // overtaken by other answers for too long
