--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -459,7 +459,8 @@
 	r.After(10.25, c, Outcome{Ending: Answered, Took: 0.25, Position: -1, Over: true})
 	assert.InDelta(t, 0.2*(0.25-0.05), r.dial, 1e-9)
 	assert.Equal(t, 1, r.nodes[1].idle, "its connection stands")
-	r.dial = 0.2
+	r.dial, r.base, r.lat, r.nodes[1].done = 0.2, 0.05, 0.05, 0
+	r.nodes[1].lat, r.nodes[1].places = 0, 0
 	for range 5 {
 		assert.Equal(t, 1, r.pick(10.3, command(gAny), &r.groups[gAny], 0), "node 2 has none")
 	}
