--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,7 +36,7 @@
 	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
 	freeOver     = 3       // as long as as many routers do not add up to more than this
 	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
-	workDrift    = 0.01    // of a batch's mean that is above it
+	workSpan     = 25      // longest targets in which it follows batches that are above it
 	coldMargin   = 0.5     // of the overload factor: what a cold node gets over its share of a warm one's rate
 	coldBurst    = 0.25    // of the fall span whose budget is given out at once
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
@@ -53,7 +53,7 @@
 	CommandGroup
 	work              float64 // mean time of an answer without a queue
 	batch, batched    float64 // answers since work was last weighed: time, number
-	weighed           bool    // a whole batch was
+	weighedAt         float64 // when the last whole batch was
 	left, stay        float64 // share of clients that leave early; after how long
 	stretch           float64 // its answer times over what queues alone foretell
 	room, primaryRoom float64 // queueing time that it may meet, by benefit
@@ -446,13 +446,10 @@
 	if p >= 0 && !r.doubted(now, p) {
 		return r.fit(now, c, g, p, g.primaryRoom)
 	}
-	if len(c.Legs) >= r.site.Tries-1 {
-		return -1
-	}
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
-		if n.usable() && i != p && !r.doubted(now, i) && now >= n.testAt &&
+		if n.usable() && i != p && !r.doubted(now, i) && now >= n.testAt && len(c.Legs) < r.site.Tries-1 &&
 			now-n.roleAt > testShare*r.span && r.coldRoom(now, i) {
 			r.spare = append(r.spare, i)
 		}
@@ -593,8 +590,8 @@
 func (r *Router) sojourn(at int, g *group) float64 {
 	n := &r.nodes[at]
 	t := math.Max(g.work, r.pace(n, n.out)*g.stretch)
-	if n.idle == 0 {
-		t += r.dial
+	if n.idle == 0 && r.dial > crowdSlack*r.span {
+		t += math.Max(0, r.dial)
 	}
 	return t
 }
@@ -790,8 +787,10 @@
 	}
 	// Where new connections are slow and costly those that stand are worth more than an even spread;
 	// a dispatch that ran out of time or was called off loses its own.
-	if l.fresh && o.Ending == Answered || o.Ending == Unreached {
-		r.dial += 4 * groupWeight * (math.Max(0, o.Took-r.mean(n)) - r.dial)
+	if l.fresh && o.Ending == Answered {
+		r.dial += groupWeight * (o.Took - r.mean(n) - r.dial)
+	} else if o.Ending == Unreached && now-n.lastGood < r.fade/memorySpan {
+		r.dial += 4 * groupWeight * (o.Took - r.dial)
 	}
 	switch o.Ending {
 	case Answered:
@@ -847,11 +846,13 @@
 	// The least mean time lately is the work: under load every answer holds a queue too.
 	g.batch += o.Took
 	g.batched++
-	if mean := g.batch / g.batched; !g.weighed {
-		g.work, g.weighed = mean, g.batched >= workBatch
-	} else if g.batched >= workBatch {
-		g.work = math.Min(mean, g.work+workDrift*(mean-g.work))
-		g.batch, g.batched = 0, 0
+	switch mean := g.batch / g.batched; {
+	case g.batched >= workBatch:
+		drift := 1 - math.Exp((g.weighedAt-now)/(workSpan*r.span))
+		g.work = math.Min(mean, g.work+drift*(mean-g.work))
+		g.batch, g.batched, g.weighedAt = 0, 0, now
+	case g.weighedAt == 0:
+		g.work = mean
 	}
 	r.heard++ // the first answers count alike, or the first alone would stand for minutes
 	w := math.Max(groupWeight, 1/r.heard)
