More room where a router sees almost nothing of a member's queue

The share of the bearable time grows from 0.4 to 0.7 as own dispatches a target fall from a half to none. Harm: with many routers a true jam is fed a little longer.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
 	lowCut       = 0.4     // of the queueing room that the least beneficial group has
 	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
+	blindShare   = 0.3     // more of it where targets bring under half a dispatch: nothing is seen then
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	shareDepth   = 4       // commands of a customer that may come at once within its share at one router
@@ -266,10 +267,8 @@
 	if !c.asked {
 		r.admit(now, c, g)
 	}
-	for i := range c.Legs {
-		if c.Legs[i].Out {
-			return r.review(now, c, g, i)
-		}
+	if i := slices.IndexFunc(c.Legs, func(l Leg) bool { return l.Out }); i >= 0 {
+		return r.review(now, c, g, i)
 	}
 	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
 		!r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) {
@@ -728,12 +727,9 @@
 // elsewhere says whether another member may take a command that is called off.
 func (r *Router) elsewhere(now float64, c *Command, g *group, at int) bool {
 	p := r.primary(c.Set)
-	for _, i := range r.sets[c.Set].nodes {
-		if i != at && (g.Need != NeedWrite || i == p) && r.nodes[i].usable() && !r.doubted(now, i) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.sets[c.Set].nodes, func(i int) bool {
+		return i != at && (g.Need != NeedWrite || i == p) && r.nodes[i].usable() && !r.doubted(now, i)
+	})
 }
 
 // Left takes in that the client of an unfinished command has gone, and calls its dispatch off.
@@ -983,7 +979,8 @@
 			room = math.Min(room, math.Max(0, h.Target-h.work))
 		}
 	}
-	return roomShare * room * (lowCut + (1-lowCut)*math.Min(1, own/top))
+	share := roomShare + blindShare*math.Max(0, 1-2*r.warmRate*r.span)
+	return share * room * (lowCut + (1-lowCut)*math.Min(1, own/top))
 }
 
 // forget lets the older generation of sessions go; their positions become their sets' floors.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -402,6 +402,11 @@
 	r.groups[gAny].work, r.groups[gAny].Target = 0.1, 2
 	assert.Less(t, r.roomOf(gAny, false), r.roomOf(gBound, false))
 	assert.Less(t, r.roomOf(gBound, true), r.roomOf(gWrite, true), "the write has the most benefit")
+	// A hundred routers that see nothing of a queue once held back by a few stray answers.
+	r.warmRate = 4
+	assert.InDelta(t, roomShare*0.45, r.roomOf(gBound, false), 1e-9)
+	r.warmRate = 0
+	assert.InDelta(t, (roomShare+blindShare)*0.45, r.roomOf(gBound, false), 1e-9)
 	r.base = 0.05
 	n := &r.nodes[1]
 	n.lat, n.places, n.done, n.out = 2, 50, 10, 5
