--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,7 +43,6 @@
 	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
 	sessionSpans = 8       // longest client timeouts after which they are let go as well
 	probeShare   = 0.25    // probes a command for positions, and as many for signs of life, unasked
-	newsOf       = 2       // replicas that are probed for a read
 	askShare     = 0.0625  // of the asking rule's span before a failed list call is repeated
 	testShare    = 0.25    // of the longest target between two role tests of one member
 	roundOff     = 1.0 / (1 << 23)
@@ -391,9 +390,9 @@
 	return -1, false
 }
 
-// ask has replicas of a set probed for a read that none is known to cover: few, in an order of this
-// router's own, so that all routers spread evenly and each hears a few well. Keeping all fresh cost many
-// routers more probes than commands. It tells whether any can cover the read within the wait.
+// ask has a replica of a set probed for a read that none is known to cover: one that is this router's
+// own, so that all routers spread evenly and each hears one well. Keeping all fresh cost many routers
+// more probes than commands. It tells whether any can cover the read within the wait.
 func (r *Router) ask(now float64, c *Command, primary int) bool {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
@@ -401,8 +400,8 @@
 			r.spare = append(r.spare, i)
 		}
 	}
-	for k := range min(newsOf, len(r.spare)) {
-		i := r.spare[(r.site.Me+k)%len(r.spare)]
+	if len(r.spare) > 0 {
+		i := r.spare[r.site.Me%len(r.spare)]
 		if n := &r.nodes[i]; r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
 			r.probe(now, i)
 		}
