A read turned away tries replicas it has not met; answer times are taken as of a command of mean work

Cause 1: a replica that checks reads turned a read away; with no primary known the read then waited until it was given up (273 routers: no member doubted, three behind, one dispatch). Each member is met once now, which finds the new primary. Cause 2: records of one to five answers mix groups; one heavy command made a primary look full for seconds (writes given up with every member undoubted). An answer now counts with its group's work replaced by the mean. Harm: a read that none can serve costs a held place of 50 ms at each member.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -379,7 +379,7 @@
 			return at, true
 		}
 	}
-	if r.site.Guarded && !futile {
+	if r.site.Guarded && (!futile || !open) {
 		if at = r.leastBehind(now, c, g); at >= 0 {
 			return at, false
 		}
@@ -492,6 +492,9 @@
 // leastBehind serves sites whose replicas check reads themselves.
 func (r *Router) leastBehind(now float64, c *Command, g *group) int {
 	r.qualify(now, c, g, math.Inf(-1))
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { // each is tried once
+		return slices.ContainsFunc(c.Legs, func(l Leg) bool { return l.Node == i })
+	})
 	least := math.Inf(1)
 	for _, i := range r.spare {
 		least = math.Min(least, r.behind(now, i))
@@ -824,7 +827,7 @@
 	if seen := r.pace(n, l.ahead); seen > 0 {
 		g.stretch += groupWeight * (took/seen - g.stretch)
 	}
-	n.lat += took
+	n.lat += math.Max(0, took+r.base-g.work) // as of a command of mean work
 	n.places += float64(l.ahead + 1)
 	n.done++
 }
@@ -852,7 +855,7 @@
 	r.heard++ // the first answers count alike, or the first alone would stand for minutes
 	w := math.Max(groupWeight, 1/r.heard)
 	r.base += w * (g.work - r.base)
-	r.lat += w * (o.Took - r.lat)
+	r.lat += w * (math.Max(0, o.Took+r.base-g.work) - r.lat)
 	r.places += w * (float64(l.ahead+1) - r.places)
 	at, s := r.site.ZeroAt+o.Position, r.session(c.Session)
 	switch {
