Trials of doubted nodes are a twentieth of the commands

Cause: with a tenth, a tenth of the reads at a rarely asked router went to hosts that answer nothing. Harm: a host that is back is found later by a router with few commands.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,7 +30,7 @@
 	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
 	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
 	failMargin   = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
-	trialShare   = 0.1     // of this router's commands may be trials of doubted nodes
+	trialShare   = 0.05    // of this router's commands may be trials of doubted nodes
 	lastResort   = 0.25    // of the longest target after a failure until a doubted node is better than none
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
