A command that two dispatches gave no answer is itself at fault

Told from sick hosts: the same hosts answered others at the same time, the share of errors was the same at all 50 hosts and in all halls, and 4.8 dispatches a command fit 54 % that err at every try, where errors by chance would have left 77 % answered. A command is given up after two dispatches that may have run without an answer. It also holds against commands that break connections or hosts, and very costly ones. Harm: a command that met two sick hosts by chance is given up, though a third might have answered.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	evidence     = 2       // or in the time of so many dispatches to it, where these are rare
 	quietAlone   = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
+	mostRuns     = 2       // dispatches without an answer, after which a command is itself at fault
 	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
 	failMargin   = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
 	trialShare   = 0.05    // of this router's commands may be trials of doubted nodes
@@ -270,12 +271,13 @@
 		return r.review(now, c, g, i)
 	}
 	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
-		!r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) {
+		c.runs >= mostRuns || !r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) {
 		return r.never(now, c, g)
 	}
 	at, spilled := r.choose(now, c, g)
 	// A keyed repeat may have to stay in its zone: it would not be known elsewhere.
-	if at < 0 || c.ran && g.Effect == Keyed && g.Scope == InZone && r.nodes[at].zone != r.nodes[c.ranOn].zone {
+	if at < 0 || c.runs > 0 && g.Effect == Keyed && g.Scope == InZone &&
+		r.nodes[at].zone != r.nodes[c.ranOn].zone {
 		return Answer{Verdict: Hold, Again: now + math.Max(r.site.Tick, pollShare*catchUp), Recall: -1}
 	}
 	return r.send(now, c, g, at, spilled)
@@ -332,7 +334,7 @@
 
 // mayGoAgain keeps rule 2: a repeat only of what is known not to have run, or within bounds.
 func (r *Router) mayGoAgain(now float64, c *Command, g *group) bool {
-	if !c.ran || g.Effect == Replayable {
+	if c.runs == 0 || g.Effect == Replayable {
 		return true
 	}
 	// A connection may still have to be made, so a repeat must leave by that much earlier.
@@ -341,7 +343,7 @@
 
 // never is the final answer of a command given up: throttled where a retry does no harm.
 func (r *Router) never(now float64, c *Command, g *group) Answer {
-	if c.ran && (g.Effect == Mutating || g.Effect == Keyed && g.Scope != Anywhere) {
+	if c.runs > 0 && (g.Effect == Mutating || g.Effect == Keyed && g.Scope != Anywhere) {
 		return Answer{Verdict: Fail, Recall: -1}
 	}
 	a := Answer{Verdict: Throttle, Recall: -1}
@@ -390,9 +392,8 @@
 	return -1, false
 }
 
-// ask has a replica of a set probed for a read that none is known to cover: one that is this router's
-// own, so that all routers spread evenly and each hears one well. Keeping all fresh cost many routers
-// more probes than commands. It tells whether any can cover the read within the wait.
+// ask has one replica, this router's own, probed for a read that none is known to cover: all routers spread
+// evenly, and keeping all fresh cost more probes than commands. It tells whether any may cover in time.
 func (r *Router) ask(now float64, c *Command, primary int) bool {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
@@ -812,8 +813,8 @@
 		r.measure(g, n, l, math.Min(o.Took, mostStretch*r.pace(n, l.ahead)))
 		fallthrough
 	case Errored, Broken:
-		if !c.ran {
-			c.ran, c.ranAt, c.ranOn = true, l.Sent, l.Node
+		if c.runs++; c.runs == 1 {
+			c.ranAt, c.ranOn = l.Sent, l.Node
 		}
 	}
 	if o.Over {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -176,11 +176,20 @@
 	}
 }
 
+// Half of all commands once erred at every host, and each took eight dispatches.
+func TestCommandThatErrsEverywhereIsGivenUp(t *testing.T) {
+	r := testRouter(t, testSite())
+	c := command(gAny)
+	r.Place(10, c)
+	assert.Equal(t, Send, r.After(10.01, c, Outcome{Ending: Errored, Position: -1}).Verdict)
+	assert.Equal(t, Throttle, r.After(10.02, c, Outcome{Leg: 1, Ending: Errored, Position: -1}).Verdict)
+}
+
 func TestKeyedRepeatLeavesRoomForItsWay(t *testing.T) {
 	s := testSite()
 	s.Groups[gWrite].Effect = Keyed
 	r := testRouter(t, s)
-	c := &Command{ran: true, ranAt: 10}
+	c := &Command{runs: 1, ranAt: 10}
 	assert.True(t, r.mayGoAgain(11.7, c, &r.groups[gWrite]))
 	assert.False(t, r.mayGoAgain(11.75, c, &r.groups[gWrite]), "a connection may take as long as Dial")
 	assert.Equal(t, Fail, r.never(11.9, c, &r.groups[gWrite]).Verdict, "known in its own group only")
@@ -193,11 +202,11 @@
 	s.Groups[gWrite].Effect, s.Groups[gWrite].Scope = Keyed, InZone
 	r := testRouter(t, s)
 	c := command(gWrite)
-	c.ran, c.ranAt, c.ranOn = true, 10, 1
+	c.runs, c.ranAt, c.ranOn = 1, 10, 1
 	assert.Equal(t, Send, r.Place(10, c).Verdict)
 	r.nodes[1].zone = 1
 	c = command(gWrite)
-	c.ran, c.ranAt, c.ranOn = true, 10, 1
+	c.runs, c.ranAt, c.ranOn = 1, 10, 1
 	assert.Equal(t, Hold, r.Place(10, c).Verdict)
 }
 
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -106,7 +106,7 @@
 	Repeat   bool    // a client's further try, where clients say so
 
 	Legs   []Leg   // dispatches, in order
-	ran    bool    // some dispatch may have run
+	runs   int     // dispatches that may have run and gave no answer
 	ranAt  float64 // when the first of those was sent
 	ranOn  int     // and where
 	over   bool    // beyond its customer's share
