Clean-up of the module; no decision changes

A dead field goes; whether new connections are dear is asked in one place instead of three (with a clamp that could not act); the upkeep works its fade out once instead of three times; pick ends in one call of spread; two bare numbers have names.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,7 +20,8 @@
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
 	lowCut       = 0.4     // of the queueing room that the least beneficial group has
 	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
-	blindShare   = 0.3     // more of it where targets bring under half a dispatch: nothing is seen then
+	blindShare   = 0.3     // more of it where targets bring fewer dispatches than
+	blindUnder   = 0.5     // this to a member: nothing is seen of its queue then
 	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
 	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	shareDepth   = 4       // commands of a customer that may come at once within its share at one router
@@ -35,6 +36,7 @@
 	lastResort   = 0.25    // of the longest target after a failure until a doubted node is better than none
 	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
 	groupWeight  = 0.05    // of one answer in the fleet's means
+	dialWeight   = 0.2     // of one failed connection in what a new one costs
 	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
 	freeOver     = 3       // as long as as many routers do not add up to more than this
 	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
@@ -120,7 +122,6 @@
 	cmds              float64 // fading number of commands
 	look              float64 // between two probes of a member that is not heard,
 	retry             float64 // and of a doubted one
-	recent            float64 // over which health fades
 	tryGap            float64 // between two trials of doubted nodes
 	wanted            []int   // nodes whose position a read in hand asks for
 	waitedAt, triedAt float64
@@ -139,8 +140,7 @@
 // New returns a router that knows nothing but its site.
 func New(s Site, seed uint64) *Router {
 	r := &Router{site: s, z: uint32(seed) | 1, w: uint32(seed>>32) | 1, young: map[uint64]session{},
-		old: map[uint64]session{}, waitedAt: math.Inf(-1)}
-	r.gap = math.Inf(1)
+		old: map[uint64]session{}, waitedAt: math.Inf(-1), gap: math.Inf(1)}
 	for _, g := range s.Groups {
 		r.groups = append(r.groups, group{CommandGroup: g, stretch: 1, weight: 1, room: g.Target,
 			primaryRoom: g.Target})
@@ -470,17 +470,16 @@
 // narrowed to those that answer (a hung one keeps its position) and are not crowded.
 func (r *Router) pick(now float64, c *Command, g *group, need float64) int {
 	trial := r.qualify(now, c, g, need)
-	if trial < 0 {
-		return r.spread(now, c, g)
-	}
-	n := &r.nodes[trial]
-	// What was out of reach is left to probes. Where all are doubted the one that failed longest ago is
-	// taken, or many bad members at once would leave nobody to send to, and nobody to learn from.
-	due := now >= n.trialAt && now-c.Arrived < crowdSlack*g.Target && now-r.triedAt >= r.tryGap &&
-		(math.IsInf(n.downAt, 1) || !r.site.Probes)
-	if due || len(r.spare) == 0 && r.lastHope(now, n) {
-		n.trialAt, r.triedAt = now+r.span, now
-		return trial
+	if trial >= 0 {
+		n := &r.nodes[trial]
+		// What was out of reach is left to probes. Where all are doubted the one that failed longest ago is
+		// taken, or many bad members at once would leave nobody to send to, and nobody to learn from.
+		due := now >= n.trialAt && now-c.Arrived < crowdSlack*g.Target && now-r.triedAt >= r.tryGap &&
+			(math.IsInf(n.downAt, 1) || !r.site.Probes)
+		if due || len(r.spare) == 0 && r.lastHope(now, n) {
+			n.trialAt, r.triedAt = now+r.span, now
+			return trial
+		}
 	}
 	return r.spread(now, c, g)
 }
@@ -592,12 +591,15 @@
 func (r *Router) sojourn(at int, g *group) float64 {
 	n := &r.nodes[at]
 	t := math.Max(g.work, r.pace(n, n.out)*g.stretch)
-	if n.idle == 0 && r.dial > crowdSlack*r.span {
-		t += math.Max(0, r.dial)
+	if n.idle == 0 && r.dear() {
+		t += r.dial
 	}
 	return t
 }
 
+// dear says that new connections cost much, so that those that stand are worth keeping.
+func (r *Router) dear() bool { return r.dial >= crowdSlack*r.span }
+
 // doubted says that a node takes work and answers none, or fails more than the fleet does.
 // A hung node keeps its last position and would go on qualifying. Once doubted it stays so until
 // it answers: a trial at a time, or a probe where it could not be reached.
@@ -693,7 +695,7 @@
 		}
 	}
 	until := c.GiveUp
-	if g.Effect == Replayable && g.Late == 0 && r.dial < crowdSlack*r.span {
+	if g.Effect == Replayable && g.Late == 0 && !r.dear() {
 		until = math.Min(until, c.Arrived+g.Target)
 	}
 	return Answer{Verdict: Send, Node: at, Until: until, Recall: -1,
@@ -719,7 +721,7 @@
 		l.lost = true
 		n.out--
 	}
-	if r.site.Cancel && l.late && !l.recall && r.dial < crowdSlack*r.span && g.Effect != Mutating &&
+	if r.site.Cancel && l.late && !l.recall && !r.dear() && g.Effect != Mutating &&
 		len(c.Legs) < r.site.Tries && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
 		l.recall = true
 		a.Recall = i
@@ -789,7 +791,7 @@
 	if l.fresh && o.Ending == Answered {
 		r.dial += groupWeight * (o.Took - r.mean(n) - r.dial)
 	} else if o.Ending == Unreached && now-n.lastGood < r.fade/memorySpan {
-		r.dial += 4 * groupWeight * (o.Took - r.dial)
+		r.dial += dialWeight * (o.Took - r.dial)
 	}
 	switch o.Ending {
 	case Answered:
@@ -883,12 +885,11 @@
 	}
 	if now-r.waitedAt >= r.gap/2 {
 		// What clients left must be seen again and again: commands throttled before then tell nothing.
+		f := math.Exp((r.waitedAt - now) / r.fade)
 		for i := range r.groups {
-			r.groups[i].left *= math.Exp((r.waitedAt - now) / r.fade)
+			r.groups[i].left *= f
 		}
-		r.dial *= math.Exp((r.waitedAt - now) / r.fade)
-		r.cmds *= math.Exp((r.waitedAt - now) / r.fade)
-		r.waitedAt = now
+		r.dial, r.cmds, r.waitedAt = r.dial*f, r.cmds*f, now
 		r.weigh(now)
 		r.forget(now)
 		for i := range r.nodes {
@@ -982,7 +983,7 @@
 			room = math.Min(room, math.Max(0, h.Target-h.work))
 		}
 	}
-	share := roomShare + blindShare*math.Max(0, 1-2*r.warmRate*r.span)
+	share := roomShare + blindShare*math.Max(0, 1-r.warmRate*r.span/blindUnder)
 	return share * room * (lowCut + (1-lowCut)*math.Min(1, own/top))
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -493,7 +493,7 @@
 	failed := command(gAny)
 	failed.Legs, failed.asked = []Leg{{Node: 1, Sent: 10, Out: true, fresh: true}}, true
 	r.After(10.26, failed, Outcome{Ending: Unreached, Took: 0.25, Position: -1, Over: true})
-	assert.InDelta(t, 4*groupWeight*0.25, r.dial, 0.01, "a failed one weighs more")
+	assert.InDelta(t, dialWeight*0.25, r.dial, 0.01, "a failed one weighs more")
 	r.revive(10.26, &r.nodes[1])
 	r.dial, r.base, r.lat, r.nodes[1].done = 0.2, 0.05, 0.05, 0
 	r.nodes[1].lat, r.nodes[1].places, r.groups[gAny].work = 0, 0, 0.05
