--- /dev/null
+++ b/cmd/stoatdale/main.go
@@ -0,0 +1,47 @@
+// Command stoatdale is the router on sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"stoatdale.example/stoatdale/service"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "stoatdale:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	start, err := service.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(start.Limits.Memory / 4 * 3) // the rest is for what the run time does not count
+	r, err := service.New(start, zerolog.New(os.Stderr).With().Timestamp().Logger())
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				r.LogCounters()
+			} else {
+				r.Drain()
+			}
+		}
+	}()
+	return r.Run()
+}
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -1,16 +1,17 @@
 // Package adapter hosts router instances on the simulator's wire. It decodes
-// records into the module's calls and encodes the answers; it keeps timers and
-// the commands in hand, and decides nothing.
+// records into calls, keeps the alarms and encodes what comes back. The commands
+// are kept in hand by package hand; nothing is decided here.
 package adapter
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 
+	"stoatdale.example/stoatdale/internal/hand"
 	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
 	"stoatdale.example/stoatdale/internal/wire"
 )
 
@@ -95,10 +96,12 @@
 	}
 	h.drop()
 	in := newInstance(h.curID, h.clock)
-	site, fields, err := readSite(raw, h.clock)
+	told, err := site.Read(raw)
 	if err == nil {
-		in.fields, in.groups = fields, len(site.Groups)
-		in.router = router.New(site, seed)
+		told.ZeroAt = seconds(int64(told.ZeroNs) - int64(h.clock))
+		in.fields, in.groups = told.Fields, len(told.Groups)
+		in.router = router.New(told.Site, seed)
+		in.hand = hand.New(in.router, in)
 	}
 	if err != nil {
 		in.broken = err.Error()
@@ -189,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	return in.guard(func() { in.expired(id) })
+	return in.guard(func() { in.hand.Left(in.now, id) })
 }
 
 // Closed implements wire.Handler.
@@ -213,35 +216,9 @@
 	return in.guard(func() { in.probed(host, code == 0, took, load) })
 }
 
-// inHand is a command that still has an answer or a dispatch to come.
-type inHand struct {
-	router.Command
-	id    uint32
-	asked float64 // the next time to ask about it
-	done  bool
-}
-
-// due is a time to ask about a command again.
-type due struct {
-	at  float64
-	seq uint64
-	cmd *inHand
-}
-
-type dues []due
+const nano = 1e-9
 
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(i, j int) bool {
-	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
-}
-func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	old := *d
-	x := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return x
-}
+func seconds(ns int64) float64 { return float64(ns) * nano }
 
 // instance is one router with its timers and commands in hand.
 type instance struct {
@@ -254,9 +231,7 @@
 	broken  string
 	dead    bool
 	touched bool
-	cmds    map[uint32]*inHand
-	dues    dues
-	seq     uint64
+	hand    *hand.Hand
 	alarm   float64
 	alarms  uint32 // number of the alarm that counts
 	hosts   []wire.Host
@@ -266,7 +241,7 @@
 }
 
 func newInstance(id uint32, clock uint64) *instance {
-	in := &instance{id: id, base: clock, cmds: map[uint32]*inHand{}, alarm: math.Inf(1),
+	in := &instance{id: id, base: clock, alarm: math.Inf(1),
 		index: map[wire.Host]int{}, sets: map[int]int{}}
 	in.out.Reset()
 	return in
@@ -316,19 +291,9 @@
 	if !ok {
 		set = -1
 	}
-	c := &inHand{id: a.ID, Command: router.Command{Group: a.Class, Set: set, Customer: a.Tenant,
+	in.hand.Take(in.now, a.ID, router.Command{Group: a.Class, Set: set, Customer: a.Tenant,
 		Session: a.Session, Arrived: in.now, GiveUp: seconds(int64(a.Due - in.base)),
-		WriteAge: a.WriteAge / 1000, Repeat: a.Marks&repeatMark != 0}}
-	in.cmds[a.ID] = c
-	in.carry(c, in.router.Place(in.now, &c.Command))
-}
-
-func (in *instance) expired(id uint32) {
-	if c := in.cmds[id]; c != nil && !c.done {
-		c.done = true
-		in.carry(c, router.Answer{Verdict: router.Done, Recall: in.router.Left(in.now, &c.Command)})
-		in.release(c)
-	}
+		WriteAge: a.WriteAge / 1000, Repeat: a.Marks&repeatMark != 0})
 }
 
 // endings translates the wire's outcome codes.
@@ -336,19 +301,12 @@
 	router.Unreached, router.Broken, router.Recalled, router.Moot, router.Missed}
 
 func (in *instance) closed(e wire.Ended) {
-	c := in.cmds[e.ID]
-	if c == nil || e.Leg >= len(c.Legs) || !c.Legs[e.Leg].Out {
-		return
-	}
 	o := router.Outcome{Leg: e.Leg, Ending: endings[e.Code], Took: seconds(int64(e.Took)),
-		Over: e.Over || c.done, Role: router.Role(e.Note & 3), Position: -1}
+		Over: e.Over, Role: router.Role(e.Note & 3), Position: -1}
 	if p := e.Note >> 2; p != 0 {
 		o.Position = float64(p) / 1000
 	}
-	a := in.router.After(in.now, &c.Command, o)
-	c.done = c.done || o.Over
-	in.carry(c, a)
-	in.release(c)
+	in.hand.Ended(in.now, e.ID, o)
 }
 
 func (in *instance) probed(host wire.Host, ok bool, took uint64, load []float32) {
@@ -368,50 +326,22 @@
 	in.router.Probed(in.now, node, ok, seconds(int64(took)), position, primary)
 }
 
-// release forgets a command with nothing more to come.
-func (in *instance) release(c *inHand) {
-	if !c.done {
-		return
-	}
-	for i := range c.Legs {
-		if c.Legs[i].Out {
-			return
-		}
-	}
-	delete(in.cmds, c.id)
-}
-
 func (in *instance) stamp(at float64) uint64 { return in.base + uint64(math.Round(at/nano)) }
 
-// carry puts one answer on the wire.
-func (in *instance) carry(c *inHand, a router.Answer) {
-	if a.Recall >= 0 {
-		in.out.Recall(c.id, a.Recall)
-	}
-	if c.done {
-		return
-	}
-	switch a.Verdict {
-	case router.Send:
-		in.out.Attempt(c.id, in.hosts[a.Node], in.stamp(a.Until))
-	case router.Throttle:
-		in.out.PushBack(c.id, uint64(a.ComeBack/nano))
-		c.done = true
-	case router.Fail:
-		in.out.Abort(c.id)
-		c.done = true
-	}
-	if c.done {
-		in.release(c)
-		return
-	}
-	if a.Again > 0 {
-		c.asked = a.Again
-		in.seq++
-		heap.Push(&in.dues, due{at: a.Again, seq: in.seq, cmd: c})
-	}
+// Dispatch implements hand.Out.
+func (in *instance) Dispatch(id uint32, _, node int, until float64) {
+	in.out.Attempt(id, in.hosts[node], in.stamp(until))
 }
 
+// Recall implements hand.Out.
+func (in *instance) Recall(id uint32, leg int) { in.out.Recall(id, leg) }
+
+// Throttle implements hand.Out.
+func (in *instance) Throttle(id uint32, comeBack float64) { in.out.PushBack(id, uint64(comeBack/nano)) }
+
+// Fail implements hand.Out.
+func (in *instance) Fail(id uint32) { in.out.Abort(id) }
+
 // finish asks about what is due, does the upkeep and sets the next alarm.
 func (in *instance) finish(reply *wire.Reply) {
 	in.touched = false
@@ -432,23 +362,13 @@
 }
 
 func (in *instance) settle() {
-	for len(in.dues) > 0 && in.dues[0].at <= in.now {
-		d := heap.Pop(&in.dues).(due)
-		if !d.cmd.done && d.cmd.asked == d.at {
-			in.carry(d.cmd, in.router.Place(in.now, &d.cmd.Command))
-		}
-	}
-	pause, keep := in.router.Wait(in.now)
+	next, keep := in.hand.Settle(in.now)
 	for _, node := range keep.Probe {
 		in.out.Check(in.hosts[node])
 	}
 	if keep.Follow {
 		in.out.Follow()
 	}
-	next := in.now + pause
-	if len(in.dues) > 0 {
-		next = math.Min(next, in.dues[0].at)
-	}
 	if next < in.alarm {
 		in.alarm = next
 		in.alarms++
--- a/internal/adapter/adapter_test.go
+++ b/internal/adapter/adapter_test.go
@@ -13,7 +13,7 @@
 	"stoatdale.example/stoatdale/internal/wire"
 )
 
-const site = `{"balancers": 1, "classes": [{"effect": "pure", "keyScope": "cell", "targetNs": 500000000,
+const settings = `{"balancers": 1, "classes": [{"effect": "pure", "keyScope": "cell", "targetNs": 500000000,
  "deadlineNs": 2000000000, "worth": 1, "memorySpanNs": 2000000000}], "familyInfo": {"tokens": "kept",
  "guards": "none", "tellsPosition": true, "needsByClass": ["eventual"], "classBoundNs": [0], "zeroNs": 0},
  "limits": {"mostTries": 4}, "unheardOf": {"skipped": true}}`
@@ -53,7 +53,7 @@
 
 func TestCommandIsDispatchedAndAnswered(t *testing.T) {
 	out, err := serve(t,
-		batch(1e9, 4, up(site), list(), nil),
+		batch(1e9, 4, up(settings), list(), nil),
 		batch(1e9, 2, []byte{5, 0, 0, 0, 0}, job(7, 2e9)))
 	require.NoError(t, err)
 	want := []byte{1, 7, 0, 0, 0, 10, 0, 0, 1, 9, 9}
@@ -63,7 +63,7 @@
 func TestUnknownAndLateEventsAreLegal(t *testing.T) {
 	closed := append([]byte{4, 9, 0, 0, 0, 0}, make([]byte, 22)...)
 	probed := append([]byte{12}, make([]byte, 17)...)
-	_, err := serve(t, batch(1e9, 8, up(site), list(), closed, probed, []byte{8, 1, 0, 0, 0}, []byte{7, 5, 0, 0, 0}))
+	_, err := serve(t, batch(1e9, 8, up(settings), list(), closed, probed, []byte{8, 1, 0, 0, 0}, []byte{7, 5, 0, 0, 0}))
 	assert.NoError(t, err)
 }
 
@@ -71,9 +71,9 @@
 	for says, frame := range map[string][]byte{
 		"event for unknown instance 4": batch(1, 2, []byte{5, 4, 0, 0, 0}, job(1, 1)),
 		"before any instance":          batch(1, 1, job(1, 1)),
-		"names command group 3 of 1":   batch(1, 3, up(site), append(append([]byte{9, 1, 0, 0, 0, 3}, make([]byte, 37)...), 0)),
-		"never defined":                batch(1, 3, up(site), []byte{10, 1, 0, 0, 0, 0, 3, 0}),
-		"unknown list mode":            batch(1, 3, up(site), []byte{10, 8, 0, 0, 0, 0, 3, 0}),
+		"names command group 3 of 1":   batch(1, 3, up(settings), append(append([]byte{9, 1, 0, 0, 0, 3}, make([]byte, 37)...), 0)),
+		"never defined":                batch(1, 3, up(settings), []byte{10, 1, 0, 0, 0, 0, 3, 0}),
+		"unknown list mode":            batch(1, 3, up(settings), []byte{10, 8, 0, 0, 0, 0, 3, 0}),
 		"truncated frame":              batch(1, 1, job(1, 1))[:20],
 	} {
 		_, err := serve(t, frame)
@@ -81,7 +81,7 @@
 	}
 }
 
-func spoilt(old, odd string) string { return strings.Replace(site, old, odd, 1) }
+func spoilt(old, odd string) string { return strings.Replace(settings, old, odd, 1) }
 
 func TestBadSettingsArePanicText(t *testing.T) {
 	for params, says := range map[string]string{
@@ -103,7 +103,7 @@
 
 func TestRepeatedHostsKeepTheirIndex(t *testing.T) {
 	h := &hub{live: map[uint32]*instance{}, lists: map[int][]wire.Entry{}}
-	b, err := wire.ReadBatch(bytes.NewReader(batch(1e9, 5, up(site), list(), list()[35:])), nil)
+	b, err := wire.ReadBatch(bytes.NewReader(batch(1e9, 5, up(settings), list(), list()[35:])), nil)
 	require.NoError(t, err)
 	require.NoError(t, b.Decode(h))
 	assert.Len(t, h.live[0].hosts, 1)
--- /dev/null
+++ b/internal/buffer/buffer.go
@@ -0,0 +1,148 @@
+// Package buffer keeps bytes in blocks of one size that are used again from a pool; what is longer
+// than a block chains.
+package buffer
+
+// Pool hands out blocks and takes them back. It belongs to one loop and has no lock.
+type Pool struct {
+	size, most, out int
+	free            [][]byte
+}
+
+// NewPool returns a pool of blocks of a size. Beyond most of them in use it counts as scarce.
+func NewPool(size, most int) *Pool { return &Pool{size: size, most: most} }
+
+// Scarce says that so many blocks are in use that nothing new should be read.
+func (p *Pool) Scarce() bool { return p.out >= p.most }
+
+// Out is the number of blocks in use.
+func (p *Pool) Out() int { return p.out }
+
+func (p *Pool) get() []byte {
+	p.out++
+	if n := len(p.free); n > 0 {
+		b := p.free[n-1]
+		p.free = p.free[:n-1]
+		return b
+	}
+	return make([]byte, 0, p.size)
+}
+
+// keptShare of the most blocks stay in the pool; the rest goes back to the run time.
+const keptShare = 4
+
+func (p *Pool) put(b []byte) {
+	p.out--
+	if len(p.free) < p.most/keptShare+1 {
+		p.free = append(p.free, b[:0])
+	}
+}
+
+// Chain is a run of bytes in blocks: written at its end, read from its start.
+type Chain struct {
+	pool   *Pool
+	blocks [][]byte
+	off    int // bytes of the first block that were read
+	n      int
+}
+
+// New returns an empty chain.
+func (p *Pool) New() Chain { return Chain{pool: p} }
+
+// Len is the number of bytes to read.
+func (c *Chain) Len() int { return c.n }
+
+// Room is free space at the end; Grow says how much of it was filled.
+func (c *Chain) Room() []byte {
+	last := len(c.blocks) - 1
+	if last < 0 || len(c.blocks[last]) == cap(c.blocks[last]) {
+		c.blocks = append(c.blocks, c.pool.get())
+		last++
+	}
+	b := c.blocks[last]
+	return b[len(b):cap(b)]
+}
+
+// Grow takes in n bytes that were written to Room.
+func (c *Chain) Grow(n int) {
+	last := len(c.blocks) - 1
+	c.blocks[last] = c.blocks[last][:len(c.blocks[last])+n]
+	c.n += n
+	c.tidy()
+}
+
+// Write appends.
+func (c *Chain) Write(p []byte) {
+	for len(p) > 0 {
+		n := copy(c.Room(), p)
+		c.Grow(n)
+		p = p[n:]
+	}
+}
+
+// First is the first run of bytes that lies in one piece.
+func (c *Chain) First() []byte {
+	if c.n == 0 {
+		return nil
+	}
+	return c.blocks[0][c.off:]
+}
+
+// Peek copies from the start without reading, and returns how many bytes there were.
+func (c *Chain) Peek(p []byte) int {
+	got := 0
+	c.Each(0, min(len(p), c.n), func(b []byte) { got += copy(p[got:], b) })
+	return got
+}
+
+// Each calls f with the n bytes from an offset on, piece by piece.
+func (c *Chain) Each(from, n int, f func([]byte)) {
+	from += c.off
+	for _, b := range c.blocks {
+		if n <= 0 {
+			return
+		}
+		if from >= len(b) {
+			from -= len(b)
+			continue
+		}
+		piece := b[from:min(len(b), from+n)]
+		f(piece)
+		n -= len(piece)
+		from = 0
+	}
+}
+
+// CopyTo appends n bytes from an offset on to another chain.
+func (c *Chain) CopyTo(dst *Chain, from, n int) { c.Each(from, n, dst.Write) }
+
+// Skip reads n bytes away; blocks that are used up go back to the pool.
+func (c *Chain) Skip(n int) {
+	n = min(n, c.n)
+	c.n -= n
+	c.off += n
+	gone := 0
+	for gone < len(c.blocks) && c.off >= len(c.blocks[gone]) && (c.off > 0 || c.n == 0) {
+		c.off -= len(c.blocks[gone])
+		c.pool.put(c.blocks[gone])
+		gone++
+	}
+	if gone > 0 {
+		c.blocks = append(c.blocks[:0], c.blocks[gone:]...)
+	}
+}
+
+// tidy gives a block back that was taken for room and stayed empty.
+func (c *Chain) tidy() {
+	if last := len(c.blocks) - 1; c.n == 0 && last >= 0 && c.off == 0 && len(c.blocks[last]) == 0 {
+		c.pool.put(c.blocks[last])
+		c.blocks = c.blocks[:last]
+	}
+}
+
+// Free gives all blocks back.
+func (c *Chain) Free() {
+	for _, b := range c.blocks {
+		c.pool.put(b)
+	}
+	c.blocks, c.off, c.n = nil, 0, 0
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,385 @@
+// Package core joins the parts: what fronts, members and discovery have gathered in a turn goes to the
+// module in one go, and what comes back is carried out. It maps names to the module's small indices and
+// decides nothing.
+package core
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/discovery"
+	"stoatdale.example/stoatdale/internal/hand"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/member"
+	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/roster"
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// Command is a command as a front took it. The front fills the first part.
+type Command struct {
+	Group    int
+	Set      int // by Core.Set
+	Session  uint64
+	Repeat   bool
+	WriteAge float64 // seconds since the session's last write; 0: not told
+	GiveUp   float64 // the client stops waiting
+	Text     buffer.Chain
+	From, To int // where the digits of the time to wait stand in the text
+	Front    Front
+	Owner    any // the front's own
+
+	id       uint32
+	dispatch *member.Dispatch // the one that is out
+	done     bool
+}
+
+// Front gives a command its one final answer. It may call Take and Left meanwhile.
+type Front interface {
+	Answered(c *Command, row *buffer.Chain) // the row is the front's to free
+	Throttled(c *Command, comeBack float64) // seconds; 0: no advice
+	Failed(c *Command)
+}
+
+// outcome is the end of a dispatch.
+type outcome struct {
+	d      *member.Dispatch
+	ending router.Ending
+	took   float64
+	answer pg.Answer
+}
+
+type probed struct {
+	node   int
+	ok     bool
+	took   float64
+	report string
+}
+
+type listed struct {
+	list           roster.List
+	cached, failed bool
+}
+
+// act is one thing to carry out.
+type act struct {
+	dispatch *member.Dispatch
+	node     int
+	recall   *member.Dispatch
+}
+
+// Core is one router.
+type Core struct {
+	loop    *loop.Loop
+	told    *site.Told
+	router  *router.Router
+	hand    *hand.Hand
+	members *member.Members
+	watch   *discovery.Watch
+	count   *count.Counters
+	log     zerolog.Logger
+
+	zeroMs float64 // Unix milliseconds from which positions count
+	nodes  map[string]int
+	names  []string
+	sets   map[int]int
+	zones  map[string]int
+
+	cmds map[uint32]*Command
+	last uint32
+
+	// What was gathered in this turn, and what came back.
+	lists  []listed
+	probes []probed
+	ends   []outcome
+	left   []*Command
+	taken  []*Command
+	acts   []act
+}
+
+// epoch is how long before the router's start positions count from, in seconds. The module takes a
+// negative position as not told, and rounds reports by a share of theirs: far enough back for any replica
+// worth reading, and near enough that the rounding stays under a millisecond.
+const epoch = 3600
+
+// New returns a router that knows the list it had last.
+func New(s *site.Start, l *loop.Loop, blocks *buffer.Pool, c *count.Counters, log zerolog.Logger) *Core {
+	o := &Core{loop: l, told: &s.Told, count: c, log: log, nodes: map[string]int{}, sets: map[int]int{},
+		zones: map[string]int{}, cmds: map[uint32]*Command{}}
+	for i, z := range s.Told.Zones {
+		o.zones[z] = i
+	}
+	o.zeroMs = float64(l.StartedAt().UnixMilli()) - epoch*1000
+	told := s.Told.Site
+	told.ZeroAt = o.clock(o.zeroMs)
+	o.router = router.New(told, s.Seed)
+	o.hand = hand.New(o.router, o)
+	o.members = member.New(l, &s.Limits, blocks, o, c)
+	o.watch = discovery.New(l, &s.Limits, s.Discovery, told.Ask, blocks, o, log)
+	o.lists = append(o.lists, listed{list: s.Known, cached: true})
+	if !told.Ask {
+		o.watch.Ask()
+	}
+	return o
+}
+
+// clock turns a Unix time in milliseconds into the module's.
+func (o *Core) clock(unixMs float64) float64 {
+	return (unixMs*1e6 - float64(o.loop.StartedAt().UnixNano())) / 1e9
+}
+
+// Age is how long ago a Unix time in seconds was.
+func (o *Core) Age(unix float64) float64 { return o.loop.Now() - o.clock(unix*1000) }
+
+// Set is the index of the set that a client's cluster names, and false if no list has named it.
+func (o *Core) Set(cluster int) (int, bool) {
+	set, ok := o.sets[cluster]
+	return set, ok
+}
+
+// Take takes a command; it gets one final answer.
+func (o *Core) Take(c *Command) {
+	o.last++
+	c.id = o.last
+	o.cmds[c.id] = c
+	o.taken = append(o.taken, c)
+	o.count.Taken++
+	o.count.TakenByGroup[c.Group]++
+}
+
+// Left takes in that a command's client has gone.
+func (o *Core) Left(c *Command) { o.left = append(o.left, c) }
+
+// InHand is the number of commands without a final answer.
+func (o *Core) InHand() int { return len(o.cmds) }
+
+// Members is the number of connections to members.
+func (o *Core) Members() int { return o.members.Open() }
+
+// Close ends the watch and all idle connections to members.
+func (o *Core) Close() {
+	o.watch.Close()
+	o.members.Close()
+}
+
+// Listed implements discovery.Sink.
+func (o *Core) Listed(list roster.List) { o.lists = append(o.lists, listed{list: list}) }
+
+// ListFailed implements discovery.Sink.
+func (o *Core) ListFailed() { o.lists = append(o.lists, listed{failed: true}) }
+
+// Ended implements member.Sink.
+func (o *Core) Ended(d *member.Dispatch, e router.Ending, took float64, a *pg.Answer) {
+	out := outcome{d: d, ending: e, took: took}
+	if a != nil {
+		out.answer = *a
+	}
+	o.ends = append(o.ends, out)
+}
+
+// Probed implements member.Sink.
+func (o *Core) Probed(node int, ok bool, took float64, report string) {
+	o.probes = append(o.probes, probed{node: node, ok: ok, took: took, report: report})
+}
+
+// Settle hands over what was gathered until nothing more comes of it, and returns when to settle next.
+func (o *Core) Settle(now float64) float64 {
+	for {
+		o.hear(now)
+		next, keep := o.hand.Settle(now)
+		o.carry()
+		for _, node := range keep.Probe {
+			o.members.Probe(node)
+		}
+		if keep.Follow {
+			o.watch.Ask()
+		}
+		if len(o.lists)+len(o.probes)+len(o.ends)+len(o.left)+len(o.taken) == 0 {
+			return next
+		}
+	}
+}
+
+// hear tells the module what was gathered: what it should know first comes first. Giving answers lets
+// fronts take more in, which is heard next.
+func (o *Core) hear(now float64) {
+	lists, probes, ends, left, taken := o.lists, o.probes, o.ends, o.left, o.taken
+	o.lists, o.probes, o.ends, o.left, o.taken = nil, nil, nil, nil, nil
+	for _, l := range lists {
+		o.list(now, l)
+	}
+	for _, p := range probes {
+		position, primary := o.report(p.report)
+		o.router.Probed(now, p.node, p.ok, p.took, position, primary)
+	}
+	for i := range ends {
+		o.end(now, &ends[i])
+	}
+	for _, c := range left {
+		o.leave(now, c)
+	}
+	for _, c := range taken {
+		if !c.done {
+			o.hand.Take(now, c.id, router.Command{Group: c.Group, Set: c.Set, Customer: -1, Session: c.Session,
+				Arrived: now, GiveUp: c.GiveUp, WriteAge: c.WriteAge, Repeat: c.Repeat})
+		}
+	}
+}
+
+func (o *Core) list(now float64, l listed) {
+	if l.failed {
+		o.count.ListsFailed++
+		o.router.ListFailed(now)
+		return
+	}
+	if !l.cached {
+		o.count.Lists++
+	}
+	facts := make([]router.Listing, 0, len(l.list.Members))
+	for _, m := range l.list.Members {
+		node := index(o.nodes, m.ID)
+		if node == len(o.names) {
+			o.names = append(o.names, m.ID)
+		}
+		o.members.Place(node, m.At, m.State == roster.Gone)
+		started := math.Inf(-1)
+		if m.StartedMs > 0 {
+			started = o.clock(float64(m.StartedMs))
+		}
+		facts = append(facts, router.Listing{Node: node, Set: index(o.sets, m.Cell), Zone: index(o.zones, m.Zone),
+			State: router.NodeState(m.State), Started: started, Primary: m.Primary})
+	}
+	o.router.Listed(now, facts, l.list.Whole || l.cached, l.cached)
+	o.log.Info().Int64("generation", l.list.Generation).Bool("whole", l.list.Whole).Bool("known", l.cached).
+		Int("members", len(l.list.Members)).Msg("list")
+}
+
+// index gives a name the next small index when it is first met.
+func index[K comparable](known map[K]int, name K) int {
+	i, ok := known[name]
+	if !ok {
+		i = len(known)
+		known[name] = i
+	}
+	return i
+}
+
+// report reads a report's position, in seconds from the epoch, and role. Negative: not told.
+func (o *Core) report(text string) (position float64, primary bool) {
+	position = -1
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0":
+			position = v - o.zeroMs/1000
+		case "x1":
+			primary = v == 1
+		}
+	}
+	return position, primary
+}
+
+var roles = map[string]router.Role{"off": router.RolePrimary, "on": router.RoleReplica}
+
+// end tells the module of an outcome, and the client if it is answered.
+func (o *Core) end(now float64, e *outcome) {
+	o.count.Outcomes[e.ending]++
+	c := o.cmds[e.d.ID]
+	if c != nil && c.dispatch == e.d {
+		c.dispatch = nil
+	}
+	said := router.Outcome{Leg: e.d.Leg, Ending: e.ending, Took: e.took, Over: e.ending == router.Answered,
+		Position: -1, Role: roles[e.answer.Role]}
+	if e.answer.Position > 0 {
+		said.Position = (float64(e.answer.Position) - o.zeroMs) / 1000
+	}
+	o.hand.Ended(now, e.d.ID, said)
+	if e.ending == router.Answered && c != nil && !c.done {
+		o.count.Answered++
+		c.Front.Answered(c, &e.answer.Row)
+		o.finish(c)
+		return
+	}
+	e.answer.Row.Free()
+}
+
+// leave takes in that a client has gone. What was not yet sent for it never is.
+func (o *Core) leave(now float64, c *Command) {
+	if c.done {
+		return
+	}
+	o.count.Left++
+	o.hand.Left(now, c.id)
+	if c.dispatch != nil && c.dispatch.Unsent() {
+		o.acts = append(o.acts, act{recall: c.dispatch})
+	}
+	o.finish(c)
+}
+
+// finish forgets a command that has had its final answer.
+func (o *Core) finish(c *Command) {
+	c.done = true
+	c.Text.Free()
+	delete(o.cmds, c.id)
+}
+
+// carry carries out what came back. What is given up is closed before anything new goes out.
+func (o *Core) carry() {
+	for _, a := range o.acts {
+		if a.recall != nil {
+			o.members.Recall(a.recall)
+		}
+	}
+	for _, a := range o.acts {
+		switch {
+		case a.dispatch == nil:
+		case o.cmds[a.dispatch.ID] == nil: // its client left in this same turn
+			o.Ended(a.dispatch, router.Moot, 0, nil)
+		default:
+			o.members.Send(a.node, a.dispatch)
+		}
+	}
+	clear(o.acts)
+	o.acts = o.acts[:0]
+}
+
+// Dispatch implements hand.Out.
+func (o *Core) Dispatch(id uint32, leg, node int, until float64) {
+	c := o.cmds[id]
+	d := &member.Dispatch{ID: id, Leg: leg, Text: &c.Text, From: c.From, To: c.To, Until: until}
+	c.dispatch = d
+	o.acts = append(o.acts, act{dispatch: d, node: node})
+}
+
+// Recall implements hand.Out.
+func (o *Core) Recall(id uint32, leg int) {
+	if c := o.cmds[id]; c != nil && c.dispatch != nil && c.dispatch.Leg == leg {
+		o.acts = append(o.acts, act{recall: c.dispatch})
+	}
+}
+
+// Throttle implements hand.Out.
+func (o *Core) Throttle(id uint32, comeBack float64) {
+	c := o.cmds[id]
+	o.count.Throttled++
+	c.Front.Throttled(c, comeBack)
+	o.finish(c)
+}
+
+// Fail implements hand.Out.
+func (o *Core) Fail(id uint32) {
+	c := o.cmds[id]
+	o.count.Failed++
+	c.Front.Failed(c)
+	o.finish(c)
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,191 @@
+// Package discovery watches the list of members over HTTP.
+package discovery
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/http1"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/roster"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+const path = "/registry/instances"
+
+// Sink is told of each list and of each failed call.
+type Sink interface {
+	Listed(list roster.List)
+	ListFailed()
+}
+
+// Watch is one watch of the list. Where the list comes by itself it goes on for good; where it must be
+// asked for, Ask begins it and a failure ends it.
+type Watch struct {
+	loop   *loop.Loop
+	limits *site.Limits
+	at     netip.AddrPort
+	sink   Sink
+	log    zerolog.Logger
+	onAsk  bool
+
+	fd         int // -1: no connection
+	up         bool
+	in, out    buffer.Chain
+	reply      http1.Reply
+	generation int64 // -1: the whole list is wanted
+	pause      float64
+	timer      *loop.Timer
+	ended      bool
+}
+
+// New returns a watch that has not begun. With onAsk each call must be asked for.
+func New(l *loop.Loop, limits *site.Limits, at netip.AddrPort, onAsk bool, blocks *buffer.Pool, sink Sink,
+	log zerolog.Logger) *Watch {
+	w := &Watch{loop: l, limits: limits, at: at, sink: sink, log: log, onAsk: onAsk, fd: -1,
+		in: blocks.New(), out: blocks.New(), generation: -1, pause: limits.Pause}
+	w.timer = loop.NewTimer(w.due)
+	return w
+}
+
+// Ask begins the watch unless it is on.
+func (w *Watch) Ask() {
+	if w.fd >= 0 || w.ended {
+		return
+	}
+	fd, err := loop.Dial(w.at)
+	if err == nil {
+		if err = w.loop.Add(fd, w, true, true); err != nil {
+			loop.Discard(fd)
+		}
+	}
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	w.fd, w.up = fd, false
+	w.loop.Set(w.timer, w.loop.Now()+w.limits.Late)
+}
+
+// Close ends the watch.
+func (w *Watch) Close() {
+	w.ended = true
+	w.hangUp()
+}
+
+func (w *Watch) hangUp() {
+	w.loop.Unset(w.timer)
+	if w.fd >= 0 {
+		w.loop.Close(w.fd)
+		w.fd = -1
+	}
+	w.in.Free()
+	w.out.Free()
+	w.reply = http1.Reply{}
+}
+
+// due is called when a call took too long or the pause before the next is over.
+func (w *Watch) due() {
+	if w.fd >= 0 {
+		w.fail(fmt.Errorf("no reply"))
+		return
+	}
+	w.Ask()
+}
+
+// fail gives a call up. The next starts anew with the whole list, since changes may have been missed.
+func (w *Watch) fail(err error) {
+	w.log.Warn().Err(err).Msg("call to discovery failed")
+	w.hangUp()
+	w.generation = -1
+	if !w.onAsk {
+		w.loop.Set(w.timer, w.loop.Now()+w.pause)
+		w.pause = min(2*w.pause, w.limits.LongPause)
+	}
+	w.sink.ListFailed()
+}
+
+// Ready implements loop.Handler.
+func (w *Watch) Ready(readable, writable bool) {
+	if !w.up {
+		if err := loop.Dialled(w.fd); err != nil {
+			w.fail(err)
+			return
+		}
+		w.up = true
+		w.call()
+		return
+	}
+	if writable && w.out.Len() > 0 {
+		w.flush()
+	}
+	if readable && w.fd >= 0 {
+		w.read()
+	}
+}
+
+// call asks for the whole list, or waits for what comes after the last.
+func (w *Watch) call() {
+	p, wait := path, w.limits.Late
+	if w.generation >= 0 {
+		p += fmt.Sprintf("?from=%d&hold_ms=%d", w.generation, int(w.limits.Watch*1000))
+		wait += w.limits.Watch
+	}
+	w.out.Write([]byte(http1.Get(w.at.String(), p)))
+	w.loop.Set(w.timer, w.loop.Now()+wait)
+	w.flush()
+}
+
+func (w *Watch) flush() {
+	if err := loop.Write(w.fd, &w.out); err != nil {
+		w.fail(err)
+		return
+	}
+	w.loop.Want(w.fd, true, w.out.Len() > 0)
+}
+
+func (w *Watch) read() {
+	_, err := loop.Read(w.fd, &w.in, w.limits.Read)
+	whole, bad := w.reply.Take(&w.in, w.limits.Page)
+	whole = whole || err != nil && bad == nil && w.reply.End()
+	switch {
+	case bad != nil:
+		w.fail(bad)
+	case whole:
+		w.take(err != nil)
+	case err != nil:
+		w.fail(err)
+	}
+}
+
+// take hands a whole reply on and calls again at once.
+func (w *Watch) take(ended bool) {
+	reply := w.reply
+	w.reply = http1.Reply{}
+	if reply.Status != 200 {
+		w.fail(fmt.Errorf("status %s", strconv.Itoa(reply.Status)))
+		return
+	}
+	list, err := roster.Parse(reply.Body)
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	whole := w.generation < 0
+	if !list.Whole && (whole || list.Generation < w.generation) {
+		w.fail(fmt.Errorf("changes up to %d after %d", list.Generation, w.generation))
+		return
+	}
+	w.generation, w.pause = list.Generation, w.limits.Pause
+	w.sink.Listed(list)
+	if ended || reply.Close || w.in.Len() > 0 {
+		w.hangUp()
+		w.Ask()
+		return
+	}
+	w.call()
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,234 @@
+// Package loop is the router's one event loop: epoll, timers, and calls posted from outside. A turn
+// gathers what is ready, then has it settled in one go.
+package loop
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Handler is told that its descriptor is ready. A hang-up shows as readable.
+type Handler interface {
+	Ready(readable, writable bool)
+}
+
+type watched struct {
+	handler     Handler
+	gen         int32
+	read, write bool
+}
+
+// Loop belongs to the goroutine that calls Run; only Post may be called from others.
+type Loop struct {
+	start    time.Time
+	now      float64
+	polled   float64 // when the wait before this one ended
+	since    float64
+	ep, wake int
+	files    map[int]*watched
+	gen      int32
+	timers   timers
+	stopped  bool
+	longest  float64
+
+	mu     sync.Mutex
+	posted []func()
+}
+
+// New returns a loop whose clock reads 0 at its start: wall time is read once, and the clock then
+// goes on by monotonic time.
+func New() (*Loop, error) {
+	l := &Loop{start: time.Now(), files: map[int]*watched{}}
+	var err error
+	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	if l.wake, err = unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK); err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	return l, l.Add(l.wake, wakener{l}, true, false)
+}
+
+// StartedAt is the wall time at which the clock read 0.
+func (l *Loop) StartedAt() time.Time { return l.start }
+
+// Now is the time of this turn in seconds.
+func (l *Loop) Now() float64 { return l.now }
+
+// Since is the earliest time at which what is ready in this turn may have become so: bytes that came
+// while the last turn was at work have waited since that turn's poll.
+func (l *Loop) Since() float64 { return l.since }
+
+// Open is the number of descriptors that the loop watches.
+func (l *Loop) Open() int { return len(l.files) }
+
+// Longest is the longest turn so far, in seconds.
+func (l *Loop) Longest() float64 { return l.longest }
+
+func events(read, write bool) uint32 {
+	var e uint32
+	if read {
+		e |= unix.EPOLLIN | unix.EPOLLRDHUP
+	}
+	if write {
+		e |= unix.EPOLLOUT
+	}
+	return e
+}
+
+// Add watches a descriptor.
+func (l *Loop) Add(fd int, h Handler, read, write bool) error {
+	l.gen++
+	w := &watched{handler: h, gen: l.gen, read: read, write: write}
+	e := unix.EpollEvent{Events: events(read, write), Fd: int32(fd), Pad: w.gen}
+	if err := unix.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+		return fmt.Errorf("watching a descriptor: %w", err)
+	}
+	l.files[fd] = w
+	return nil
+}
+
+// Want changes what a descriptor is watched for.
+func (l *Loop) Want(fd int, read, write bool) {
+	w := l.files[fd]
+	if w == nil || w.read == read && w.write == write {
+		return
+	}
+	w.read, w.write = read, write
+	e := unix.EpollEvent{Events: events(read, write), Fd: int32(fd), Pad: w.gen}
+	_ = unix.EpollCtl(l.ep, unix.EPOLL_CTL_MOD, fd, &e)
+}
+
+// Close closes a watched descriptor; events that were gathered for it go nowhere.
+func (l *Loop) Close(fd int) {
+	if _, ok := l.files[fd]; ok {
+		delete(l.files, fd)
+		_ = unix.Close(fd)
+	}
+}
+
+// Post has a call made in the loop's next turn. It may be called from any goroutine.
+func (l *Loop) Post(call func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, call)
+	l.mu.Unlock()
+	_, _ = unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+}
+
+type wakener struct{ l *Loop }
+
+func (w wakener) Ready(bool, bool) {
+	var b [8]byte
+	_, _ = unix.Read(w.l.wake, b[:])
+	w.l.mu.Lock()
+	calls := w.l.posted
+	w.l.posted = nil
+	w.l.mu.Unlock()
+	for _, call := range calls {
+		call()
+	}
+}
+
+// Stop ends Run after this turn.
+func (l *Loop) Stop() { l.stopped = true }
+
+// mostEvents is what one turn gathers at most, so that no turn grows long.
+const mostEvents = 256
+
+// Run turns until Stop: descriptors, timers, then settle, which says when it wants to be called at the
+// latest.
+func (l *Loop) Run(settle func(now float64) float64) error {
+	ready := make([]unix.EpollEvent, mostEvents)
+	next := 0.0
+	for !l.stopped {
+		l.tick()
+		l.longest = math.Max(l.longest, l.now-l.polled)
+		before := l.now
+		n, err := unix.EpollWait(l.ep, ready, l.pause(next))
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("waiting: %w", err)
+		}
+		l.tick()
+		if l.since = l.now; l.now-before < 0.001 { // it hardly waited
+			l.since = l.polled
+		}
+		l.polled = l.now
+		for _, e := range ready[:max(0, n)] {
+			if w := l.files[int(e.Fd)]; w != nil && w.gen == e.Pad {
+				bad := e.Events&(unix.EPOLLERR|unix.EPOLLHUP) != 0
+				w.handler.Ready(bad || e.Events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0,
+					bad || e.Events&unix.EPOLLOUT != 0)
+			}
+		}
+		for len(l.timers) > 0 && l.timers[0].at <= l.now {
+			t := heap.Pop(&l.timers).(*Timer)
+			t.fire()
+		}
+		next = settle(l.now)
+	}
+	return nil
+}
+
+func (l *Loop) tick() { l.now = time.Since(l.start).Seconds() }
+
+// pause is how long to wait, in whole milliseconds and never short of what is due.
+func (l *Loop) pause(next float64) int {
+	if len(l.timers) > 0 {
+		next = math.Min(next, l.timers[0].at)
+	}
+	return int(math.Ceil(math.Min(math.Max(0, next-l.now), 60) * 1000))
+}
+
+// Timer calls once when its time has come.
+type Timer struct {
+	at   float64
+	fire func()
+	pos  int // place in the heap, 1 first; 0: not set
+}
+
+// NewTimer returns a timer that is not set.
+func NewTimer(fire func()) *Timer { return &Timer{fire: fire} }
+
+// Set has a timer fire at a time instead of any it was set to.
+func (l *Loop) Set(t *Timer, at float64) {
+	l.Unset(t)
+	t.at = at
+	heap.Push(&l.timers, t)
+}
+
+// Unset keeps a timer from firing.
+func (l *Loop) Unset(t *Timer) {
+	if t.pos > 0 {
+		heap.Remove(&l.timers, t.pos-1)
+	}
+}
+
+type timers []*Timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].pos, t[j].pos = i+1, j+1
+}
+func (t *timers) Push(x any) {
+	timer := x.(*Timer)
+	*t = append(*t, timer)
+	timer.pos = len(*t)
+}
+func (t *timers) Pop() any {
+	old := *t
+	timer := old[len(old)-1]
+	*t = old[:len(old)-1]
+	timer.pos = 0
+	return timer
+}
+
+// IsSet says whether the timer will fire.
+func (t *Timer) IsSet() bool { return t.pos > 0 }
--- /dev/null
+++ b/internal/loop/socket.go
@@ -0,0 +1,143 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+)
+
+// ErrEnded says that the other side has closed.
+var ErrEnded = errors.New("connection ended")
+
+func address(at netip.AddrPort) (int, unix.Sockaddr) {
+	if a := at.Addr().Unmap(); a.Is4() {
+		return unix.AF_INET, &unix.SockaddrInet4{Port: int(at.Port()), Addr: a.As4()}
+	}
+	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(at.Port()), Addr: at.Addr().As16()}
+}
+
+func socket(at netip.AddrPort) (int, unix.Sockaddr, error) {
+	family, where := address(at)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	return fd, where, err
+}
+
+// Listen opens a listening socket on one address only.
+func Listen(at netip.AddrPort, backlog int) (int, error) {
+	fd, where, err := socket(at)
+	if err != nil {
+		return -1, fmt.Errorf("opening a socket: %w", err)
+	}
+	// A restarted router must get its address back while old connections fade.
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err = unix.Bind(fd, where); err == nil {
+		err = unix.Listen(fd, backlog)
+	}
+	if err != nil {
+		_ = unix.Close(fd)
+		return -1, fmt.Errorf("listening on %s: %w", at, err)
+	}
+	return fd, nil
+}
+
+// Accept takes one connection; false: none waits. An error is a lack of descriptors or memory.
+func Accept(listener int) (fd int, ok bool, err error) {
+	for {
+		fd, _, err = unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+			return fd, true, nil
+		case errors.Is(err, unix.EAGAIN):
+			return -1, false, nil
+		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+		default:
+			return -1, false, fmt.Errorf("accepting: %w", err)
+		}
+	}
+}
+
+// Dial starts to connect. The descriptor is writable once that has ended; Dialled tells how.
+func Dial(at netip.AddrPort) (int, error) {
+	fd, where, err := socket(at)
+	if err != nil {
+		return -1, fmt.Errorf("opening a socket: %w", err)
+	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if err = unix.Connect(fd, where); err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		_ = unix.Close(fd)
+		return -1, fmt.Errorf("connecting to %s: %w", at, err)
+	}
+	return fd, nil
+}
+
+// Dialled tells how a connection attempt ended.
+func Dialled(fd int) error {
+	code, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return unix.Errno(code)
+	}
+	return nil
+}
+
+// Quiet says that a connection is open and has nothing to read.
+func Quiet(fd int) bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// Read fills a chain with what there is, most bytes at the most; more may wait then.
+func Read(fd int, into *buffer.Chain, most int) (got int, err error) {
+	for got < most {
+		room := into.Room()
+		n, err := unix.Read(fd, room)
+		if n > 0 {
+			into.Grow(n)
+			got += n
+			if n < len(room) {
+				return got, nil
+			}
+			continue
+		}
+		into.Grow(0)
+		switch {
+		case err == nil:
+			return got, ErrEnded
+		case errors.Is(err, unix.EAGAIN):
+			return got, nil
+		case !errors.Is(err, unix.EINTR):
+			return got, fmt.Errorf("reading: %w", err)
+		}
+	}
+	return got, nil
+}
+
+// Write sends what the socket takes and reads that off the chain.
+func Write(fd int, from *buffer.Chain) error {
+	for from.Len() > 0 {
+		n, err := unix.SendmsgN(fd, from.First(), nil, nil, unix.MSG_NOSIGNAL)
+		switch {
+		case err == nil:
+			from.Skip(n)
+		case errors.Is(err, unix.EAGAIN):
+			return nil
+		case !errors.Is(err, unix.EINTR):
+			return fmt.Errorf("writing: %w", err)
+		}
+	}
+	return nil
+}
+
+// EndSending tells the other side that nothing more comes.
+func EndSending(fd int) { _ = unix.Shutdown(fd, unix.SHUT_WR) }
+
+// Discard closes a descriptor that the loop does not watch.
+func Discard(fd int) { _ = unix.Close(fd) }
--- /dev/null
+++ b/internal/pg/answer.go
@@ -0,0 +1,153 @@
+package pg
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+)
+
+// Answer is what a member says to one query or to the start-up packet, collected until it is whole.
+type Answer struct {
+	Row      buffer.Chain // RowDescription, DataRow and CommandComplete as they came
+	Code     string       // of an ErrorResponse
+	Fatal    bool         // the member ends the connection after that
+	Position int64        // Unix milliseconds; 0: not told
+	Role     string       // as told: off from a primary, on from a replica
+	Health   string       // a report told beside the answer
+	Report   string       // the one value of a probe's row
+	described, rows, completed,
+	value int
+	whole bool
+}
+
+// most of a message that is looked into; rows are passed on unseen.
+const mostNote = 8 << 10
+
+// ErrShape says that an answer is not one row in order, or an error.
+var ErrShape = errors.New("malformed answer")
+
+// Served says that the answer holds a row and nothing else.
+func (a *Answer) Served() bool {
+	return a.whole && a.Code == "" && a.described == 1 && a.rows == 1 && a.completed == 1
+}
+
+// Take takes whole messages off a chain. done says that the answer is at its end.
+func (a *Answer) Take(in *buffer.Chain, most int) (done bool, err error) {
+	for {
+		kind, size, ok, err := Next(in, most)
+		if err != nil || !ok {
+			return false, err
+		}
+		done, err := a.message(in, kind, size)
+		if err != nil {
+			return false, err
+		}
+		in.Skip(size)
+		if done {
+			a.whole = true
+			return true, nil
+		}
+	}
+}
+
+func (a *Answer) message(in *buffer.Chain, kind byte, size int) (done bool, err error) {
+	switch kind {
+	case 'T', 'D', 'C':
+		return false, a.part(in, kind, size)
+	case 'N', 'A', 'K':
+		return false, nil
+	case 'R', 'S', 'E', 'Z', 'I':
+	default:
+		return false, fmt.Errorf("%w: a message %q", ErrShape, kind)
+	}
+	if size > mostNote {
+		return false, fmt.Errorf("%w: %d bytes in a message %q", ErrShape, size, kind)
+	}
+	note := make([]byte, size)
+	in.Peek(note)
+	note = note[headLen:]
+	switch kind {
+	case 'R':
+		if len(note) < 4 || binary.BigEndian.Uint32(note) != 0 {
+			return false, fmt.Errorf("%w: a password is asked for", ErrShape)
+		}
+	case 'S':
+		a.status(note)
+	case 'E':
+		a.fail(note)
+		return a.Fatal, nil
+	case 'Z':
+		if a.described+a.rows+a.completed > 0 && a.Code == "" && !(a.described == 1 && a.rows == 1 && a.completed == 1) {
+			return false, fmt.Errorf("%w: %d rows", ErrShape, a.rows)
+		}
+		return true, nil
+	}
+	return false, nil
+}
+
+// part keeps a part of the row; they come in one order, and the row has one column.
+func (a *Answer) part(in *buffer.Chain, kind byte, size int) error {
+	ok := false
+	switch kind {
+	case 'T':
+		a.described++
+		ok = a.described == 1 && a.rows == 0 && a.completed == 0
+	case 'D':
+		a.rows++
+		var head [headLen + 6]byte
+		got := in.Peek(head[:])
+		a.value = int(int32(binary.BigEndian.Uint32(head[headLen+2:])))
+		ok = a.described == 1 && a.rows == 1 && a.completed == 0 && got == len(head) && size >= len(head) &&
+			binary.BigEndian.Uint16(head[headLen:]) == 1 && (a.value == size-len(head) || a.value == -1)
+		if ok && a.value >= 0 && a.value <= mostNote {
+			b := make([]byte, size)
+			in.Peek(b)
+			a.Report = string(b[len(head):])
+		}
+	case 'C':
+		a.completed++
+		ok = a.rows == 1 && a.completed == 1
+	}
+	if !ok || a.Code != "" {
+		return fmt.Errorf("%w: a message %q out of place", ErrShape, kind)
+	}
+	in.CopyTo(&a.Row, 0, size)
+	return nil
+}
+
+func (a *Answer) status(note []byte) {
+	parts := bytes.SplitN(note, zero, 3)
+	if len(parts) < 3 {
+		return
+	}
+	value := string(parts[1])
+	switch string(parts[0]) {
+	case "lsn_ms":
+		if p, err := strconv.ParseInt(value, 10, 64); err == nil && p > 0 {
+			a.Position = p
+		}
+	case "recovery":
+		a.Role = value
+	case "health":
+		a.Health = value
+	}
+}
+
+func (a *Answer) fail(note []byte) {
+	a.Code = "?"
+	for _, field := range bytes.Split(note, zero) {
+		if len(field) < 2 {
+			continue
+		}
+		switch value := string(field[1:]); field[0] {
+		case 'C':
+			a.Code = value
+		case 'S', 'V':
+			a.Fatal = a.Fatal || value == "FATAL" || value == "PANIC"
+		}
+	}
+}
--- /dev/null
+++ b/internal/pg/statement.go
@@ -0,0 +1,225 @@
+package pg
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+)
+
+// Statement is what the router reads off a client's query. All else in it is passed on unseen.
+type Statement struct {
+	Empty      bool
+	Group      string
+	Cluster    int
+	Wait       float64 // seconds from the client's send for which it waits
+	WriteAt    float64 // Unix seconds of the session's last write; 0: not told
+	Repeat     bool
+	Session    uint64 // told by the first quoted value; 0: none
+	From, To   int    // where the digits of the wait stand in the text
+	hasGroup   bool
+	hasCluster bool
+	hasWait    bool
+}
+
+// mostComment is the length that a statement's comment may have.
+const mostComment = 1 << 10
+
+// Places of the scanner in a statement.
+const (
+	plain = iota
+	quoted
+	escaped
+	named
+	line
+	block
+)
+
+// scanner goes over a statement byte by byte, so that it may lie in pieces.
+type scanner struct {
+	at, place, depth int
+	prev             byte
+	any, ended, over bool   // something but space; a semicolon; something behind that
+	literals         int    // quoted values so far
+	key              uint64 // hash of the first
+	comment          []byte // the last comment
+	commentAt        int
+}
+
+// FNV-1a, 64 bits.
+const (
+	hashStart = 14695981039346656037
+	hashPrime = 1099511628211
+)
+
+func (s *scanner) piece(b []byte) {
+	for _, c := range b {
+		s.step(c)
+		s.at++
+	}
+}
+
+func (s *scanner) step(c byte) {
+	prev := s.prev
+	s.prev = c
+	switch s.place {
+	case plain:
+		s.plainly(prev, c)
+	case quoted, escaped:
+		switch {
+		case s.place == escaped && prev == '\\':
+			s.prev = 0 // an escaped backslash escapes nothing
+		case c == '\'':
+			s.place = plain
+		}
+		if s.place != plain && s.literals == 1 {
+			s.key = (s.key ^ uint64(c)) * hashPrime
+		}
+	case named:
+		if c == '"' {
+			s.place = plain
+		}
+	case line:
+		if c == '\n' {
+			s.place = plain
+		}
+	case block:
+		switch {
+		case prev == '*' && c == '/':
+			s.prev = 0
+			if s.depth--; s.depth == 0 {
+				s.place = plain
+				s.comment = s.comment[:max(0, len(s.comment)-1)]
+				return
+			}
+		case prev == '/' && c == '*':
+			s.prev = 0
+			s.depth++
+		}
+		if len(s.comment) <= mostComment {
+			s.comment = append(s.comment, c)
+		}
+	}
+}
+
+func (s *scanner) plainly(prev, c byte) {
+	switch {
+	case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f':
+		return
+	case prev == '-' && c == '-':
+		s.place = line
+		return
+	case prev == '/' && c == '*':
+		s.place, s.depth, s.prev = block, 1, 0
+		s.comment, s.commentAt = s.comment[:0], s.at+1
+		return
+	case c == '/' || c == '-':
+		return // a comment's start, or an operator between what counts anyway
+	case c == ';':
+		s.ended = true
+		return
+	}
+	s.any = true
+	s.over = s.over || s.ended
+	switch c {
+	case '\'':
+		s.place = quoted
+		if prev == 'E' || prev == 'e' {
+			s.place = escaped
+		}
+		if s.literals++; s.literals == 1 {
+			s.key = hashStart
+		}
+	case '"':
+		s.place = named
+	}
+}
+
+// Parse reads a query's text, which is n bytes of a chain from an offset on, final zero included.
+func Parse(in *buffer.Chain, from, n int) (Statement, error) {
+	var s scanner
+	last := byte(1)
+	if n > 0 {
+		in.Each(from+n-1, 1, func(b []byte) { last = b[0] })
+	}
+	if last != 0 {
+		return Statement{}, errors.New("the query does not end with a zero byte")
+	}
+	in.Each(from, n-1, s.piece)
+	switch {
+	case !s.any && s.place == plain:
+		return Statement{Empty: true}, nil
+	case s.place != plain && s.place != line:
+		return Statement{}, errors.New("a quote or comment is not closed")
+	case s.over:
+		return Statement{}, errors.New("two statements in one query")
+	case s.commentAt == 0:
+		return Statement{}, errors.New("the comment with id, c, d and cluster is missing")
+	case len(s.comment) > mostComment:
+		return Statement{}, fmt.Errorf("the comment is longer than %d bytes", mostComment)
+	}
+	st := Statement{}
+	if s.literals > 0 {
+		st.Session = max(1, s.key)
+	}
+	return st, st.names(string(s.comment), s.commentAt)
+}
+
+// names reads a comment's names and values; those that are not known are passed over.
+func (st *Statement) names(comment string, at int) error {
+	for len(comment) > 0 {
+		part, rest, _ := strings.Cut(comment, ",")
+		lead := len(part) - len(strings.TrimLeft(part, " \t\r\n"))
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if ok {
+			if err := st.set(name, value, at+lead+len(name)+1); err != nil {
+				return err
+			}
+		}
+		at += len(part) + 1
+		comment = rest
+	}
+	switch {
+	case !st.hasGroup:
+		return errors.New("c, the command group, is missing")
+	case !st.hasWait:
+		return errors.New("d, the time to wait, is missing")
+	case !st.hasCluster:
+		return errors.New("cluster is missing")
+	}
+	return nil
+}
+
+func (st *Statement) set(name, value string, at int) error {
+	var seen bool
+	var n int64
+	var err error
+	switch name {
+	case "c":
+		seen, st.hasGroup, st.Group = st.hasGroup, true, value
+	case "r":
+		st.Repeat = value == "1"
+	case "d":
+		n, err = strconv.ParseInt(value, 10, 32)
+		if err == nil && n <= 0 {
+			err = errors.New("it must be above 0")
+		}
+		seen, st.hasWait, st.Wait = st.hasWait, true, float64(n)/1000
+		st.From, st.To = at, at+len(value)
+	case "cluster":
+		n, err = strconv.ParseInt(value, 10, 32)
+		seen, st.hasCluster, st.Cluster = st.hasCluster, true, int(n)
+	case "after":
+		n, err = strconv.ParseInt(value, 10, 64)
+		st.WriteAt = float64(n) / 1000
+	}
+	switch {
+	case err != nil:
+		return fmt.Errorf("%s=%.20q: %w", name, value, err)
+	case seen:
+		return fmt.Errorf("%s stands twice", name)
+	}
+	return nil
+}
--- a/internal/adapter/site.go
+++ b/internal/site/site.go
@@ -1,4 +1,6 @@
-package adapter
+// Package site is the one place where configuration is read, checked and given defaults: the settings
+// that the simulator or a file hands over, the environment, and the router's own limits.
+package site
 
 import (
 	"encoding/json"
@@ -10,11 +12,23 @@
 
 const nano = 1e-9
 
-// params is the part of the start message that the module reads.
+// Told is what the settings tell.
+type Told struct {
+	router.Site
+	Names  []string // of the command groups
+	Zones  []string
+	Fields []string // of a load report
+	ZeroNs float64  // the time from which positions count, on the settings' clock
+	Idle   float64  // a member closes a connection that stood idle for so many seconds
+}
+
+// params is the part of the settings that is read.
 type params struct {
-	Routers int `json:"balancers"`
-	Me      int `json:"me"`
+	Routers int      `json:"balancers"`
+	Me      int      `json:"me"`
+	Zones   []string `json:"zones"`
 	Classes []struct {
+		Name   string  `json:"name"`
 		Effect string  `json:"effect"`
 		Scope  string  `json:"keyScope"`
 		Target float64 `json:"targetNs"`
@@ -50,6 +64,7 @@
 		MaxAdvice float64 `json:"maxRetryAfterNs"`
 		Tries     int     `json:"mostTries"`
 		Dial      float64 `json:"dialTimeoutNs"`
+		Idle      float64 `json:"connIdleNs"`
 	} `json:"limits"`
 	Rules struct {
 		AskWithin float64 `json:"askWithinNs"`
@@ -81,23 +96,22 @@
 	return v
 }
 
-// readSite decodes the start message. base is the instance's start in nanoseconds.
-func readSite(raw []byte, base uint64) (router.Site, []string, error) {
+// Read decodes settings. Its errors name the key at fault; unknown keys are skipped.
+func Read(raw []byte) (Told, error) {
 	var p params
 	if err := json.Unmarshal(raw, &p); err != nil {
-		return router.Site{}, nil, fmt.Errorf("settings: %w", err)
+		return Told{}, fmt.Errorf("settings: %w", err)
 	}
 	if len(p.Classes) == 0 {
-		return router.Site{}, nil, errors.New("settings: classes is missing or empty")
+		return Told{}, errors.New("settings: classes is missing or empty")
 	}
 	if len(p.Family.Needs) != len(p.Classes) {
-		return router.Site{}, nil, fmt.Errorf("settings: familyInfo.needsByClass holds %d of %d classes",
+		return Told{}, fmt.Errorf("settings: familyInfo.needsByClass holds %d of %d classes",
 			len(p.Family.Needs), len(p.Classes))
 	}
 	var err error
 	s := router.Site{
 		Routers: p.Routers, Me: p.Me, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
-		ZeroAt:  seconds(int64(p.Family.Zero) - int64(base)),
 		Brought: word(&err, "familyInfo.tokens", p.Family.Tokens, brought),
 		Guarded: word(&err, "familyInfo.guards", p.Family.Guards, guarded),
 		Ask:     p.Discovery == "ask", AskWithin: p.Rules.AskWithin * nano, SoftRemoval: p.Rules.Soft,
@@ -107,10 +121,12 @@
 		ColdShare: p.Rules.Cold, WarmIn: p.Rules.Warm * nano, Overload: p.Rules.Overload,
 		FallSpan: p.Rules.Fall * nano,
 	}
+	var names []string
 	for i, c := range p.Classes {
+		names = append(names, c.Name)
 		at := fmt.Sprintf("classes[%d]", i)
 		if c.Target <= 0 || c.Limit <= 0 {
-			return router.Site{}, nil, fmt.Errorf("settings: %s: targetNs and deadlineNs must be above 0", at)
+			return Told{}, fmt.Errorf("settings: %s: targetNs and deadlineNs must be above 0", at)
 		}
 		g := router.CommandGroup{Need: word(&err, "familyInfo.needsByClass", p.Family.Needs[i], needs),
 			Effect: word(&err, at+".effect", c.Effect, effects),
@@ -132,7 +148,27 @@
 		told[f] = true
 	}
 	s.Reports = p.Load.Source != "none" && told["x0"] && told["x1"]
-	return s, p.Load.Fields, err
+	return Told{Site: s, Names: names, Zones: p.Zones, Fields: p.Load.Fields, ZeroNs: p.Family.Zero,
+		Idle: p.Limits.Idle * nano}, err
 }
 
-func seconds(ns int64) float64 { return float64(ns) * nano }
+// Fault is the first value in the settings that only a router on sockets cannot work with, or nil.
+func (t *Told) Fault() error {
+	seen := map[string]bool{}
+	for i, name := range t.Names {
+		if name == "" || seen[name] {
+			return fmt.Errorf("settings: classes[%d].name is missing or a repeat", i)
+		}
+		seen[name] = true
+	}
+	if t.Dial <= 0 {
+		return errors.New("settings: limits.dialTimeoutNs must be above 0")
+	}
+	if t.Idle <= 0 {
+		return errors.New("settings: limits.connIdleNs must be above 0")
+	}
+	if t.Tries <= 0 {
+		return errors.New("settings: limits.mostTries must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/site/start.go
@@ -0,0 +1,171 @@
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"stoatdale.example/stoatdale/internal/roster"
+)
+
+// Start is what a router on sockets is started with.
+type Start struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64
+	Known     roster.List // as this router had it last
+	Told      Told
+	Limits    Limits
+}
+
+// Limits is every size, count and time that the router keeps to. Sizes are bytes, times seconds.
+type Limits struct {
+	Memory    int64   // of the process
+	Sockets   int     // descriptors of the process
+	Block     int     // of a buffer
+	Blocks    int     // in use before clients are no longer read
+	Message   int     // longest message of a client
+	Answer    int     // longest message of a member
+	Page      int     // longest reply of discovery
+	Read      int     // of one connection in one turn
+	Accepts   int     // in one turn
+	Backlog   int     // of connections not yet accepted
+	Pipeline  int     // commands in hand of one connection
+	Unsent    int     // answers that a connection may owe before it is read again
+	Clients   int     // client connections
+	Members   int     // member connections
+	Stall     float64 // that a client may stay in the middle of a message or an answer
+	Dial      float64 // that a connection may take to come up
+	Probe     float64 // that a probe may take
+	Idle      float64 // after which an idle member connection is closed
+	Watch     float64 // that discovery may hold a call
+	Late      float64 // beyond which the call has failed
+	Pause     float64 // before discovery is dialled again, doubled up to
+	LongPause float64 // this
+	Linger    float64 // that a router told to end goes on accepting
+	Farewell  float64 // that a client has to close a connection that was ended
+}
+
+// Defaults and shares. What belongs to a deployment comes from its settings and limits.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64
+	blockSize       = 4 << 10
+	blockShare      = 2 // the memory limit holds this many times the buffers
+	largestValue    = 64 << 10
+	keptSockets     = 24 // for discovery, the listener, the run time
+	memberShare     = 3  // every third of the rest is for members
+	idleShare       = 0.6
+)
+
+func limits(memoryMB, sockets int, told *Told) Limits {
+	rest := sockets - keptSockets
+	memory := int64(memoryMB) << 20
+	return Limits{
+		Memory: memory, Sockets: sockets,
+		Block: blockSize, Blocks: int(memory / blockShare / blockSize),
+		Message: 4*largestValue + blockSize, // a value may be written with four characters a byte
+		Answer:  largestValue + blockSize, Page: 8 << 20,
+		Read: 64 << 10, Accepts: 64, Backlog: 1024, Pipeline: 64, Unsent: 4 * largestValue,
+		Clients: rest - rest/memberShare, Members: rest / memberShare,
+		Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		Watch: 5, Late: 2, Pause: 0.05, LongPause: 1,
+		Linger: 0.5, Farewell: 1,
+	}
+}
+
+// file is GW_CONFIG's document.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Memory  *int `json:"memory_mb"`
+		Sockets *int `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the variables GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_CONFIG by way of env and the file that
+// the last one names. A variable and the file must not differ; either may be left out but GW_CONFIG.
+func Load(env func(string) string) (Start, error) {
+	path := env("GW_CONFIG")
+	if path == "" {
+		return Start{}, errors.New("GW_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Start{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Start{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	for _, p := range []struct {
+		variable, key string
+		value         *string
+	}{{"GW_NAME", "name", &f.Name}, {"GW_LISTEN", "listen", &f.Listen}, {"GW_DISCOVERY", "discovery", &f.Discovery}} {
+		v := env(p.variable)
+		if v != "" && *p.value != "" && v != *p.value {
+			return Start{}, fmt.Errorf("%s is %q, but %s in GW_CONFIG is %q", p.variable, v, p.key, *p.value)
+		}
+		if *p.value == "" {
+			*p.value = v
+		}
+		if *p.value == "" {
+			return Start{}, fmt.Errorf("%s is missing: set %s or %s in GW_CONFIG", p.key, p.variable, p.key)
+		}
+	}
+	return f.check()
+}
+
+func (f *file) check() (Start, error) {
+	s := Start{Name: f.Name}
+	var err error
+	if s.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return s, fmt.Errorf("listen: %w", err)
+	}
+	if s.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
+		return s, fmt.Errorf("discovery: %w", err)
+	}
+	if s.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return s, fmt.Errorf("seed: %w", err)
+	}
+	if len(f.Settings) == 0 {
+		return s, errors.New("settings is missing")
+	}
+	if s.Told, err = Read(f.Settings); err == nil {
+		err = s.Told.Fault()
+	}
+	if err != nil {
+		return s, err
+	}
+	memory, sockets := defaultMemoryMB, defaultSockets
+	if f.Limits.Memory != nil {
+		memory = *f.Limits.Memory
+	}
+	if f.Limits.Sockets != nil {
+		sockets = *f.Limits.Sockets
+	}
+	if memory <= 0 {
+		return s, fmt.Errorf("limits.memory_mb is %d, and must be above 0", memory)
+	}
+	if sockets < leastSockets {
+		return s, fmt.Errorf("limits.sockets is %d, and must be %d at least", sockets, leastSockets)
+	}
+	s.Limits = limits(memory, sockets, &s.Told)
+	if len(f.Known) == 0 {
+		return s, errors.New("known is missing")
+	}
+	if s.Known, err = roster.Parse(f.Known); err != nil {
+		return s, fmt.Errorf("known: %w", err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,105 @@
+// Package service is the router as a library: New, Run, Counters.
+package service
+
+import (
+	"github.com/rs/zerolog"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/core"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/front"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// Start is what a router is started with; Load reads it.
+type Start = site.Start
+
+// Load reads the environment and the file that it names. Its errors name the variable or key at fault.
+func Load(env func(string) string) (Start, error) { return site.Load(env) }
+
+// Counters is what a router has taken in, sent and answered.
+type Counters = count.Counters
+
+// Router is one router on sockets.
+type Router struct {
+	start  Start
+	loop   *loop.Loop
+	blocks *buffer.Pool
+	core   *core.Core
+	front  *front.Front
+	count  Counters
+	log    zerolog.Logger
+	ending bool
+}
+
+// New opens a router's listener; Run serves.
+func New(s Start, log zerolog.Logger) (*Router, error) {
+	l, err := loop.New()
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{start: s, loop: l, blocks: buffer.NewPool(s.Limits.Block, s.Limits.Blocks), log: log}
+	r.count.GroupNames = r.start.Told.Names
+	r.count.TakenByGroup = make([]uint64, len(r.count.GroupNames))
+	r.core = core.New(&r.start, l, r.blocks, &r.count, log)
+	r.front, err = front.Listen(s.Listen, l, &r.start.Limits, r.blocks, r.core, r.start.Told.Names, &r.count, log)
+	if err != nil {
+		return nil, err
+	}
+	log.Info().Str("name", s.Name).Stringer("listen", s.Listen).Msg("serving")
+	return r, nil
+}
+
+// Run serves until the router has drained, or fails.
+func (r *Router) Run() error {
+	err := r.loop.Run(func(now float64) float64 {
+		r.front.Refresh()
+		next := r.core.Settle(now)
+		if r.ending && r.front.Closed() && r.front.Open() == 0 && r.core.InHand() == 0 {
+			r.loop.Stop()
+		}
+		return next
+	})
+	r.core.Close()
+	r.Log()
+	return err
+}
+
+// Drain has the router end: it goes on accepting for a while, answers what is in hand, ends connections
+// between commands, and then Run returns. It may be called from any goroutine, and more than once.
+func (r *Router) Drain() {
+	r.loop.Post(func() {
+		if r.ending {
+			return
+		}
+		r.ending = true
+		r.log.Info().Int("in_hand", r.core.InHand()).Msg("draining")
+		r.loop.Set(loop.NewTimer(r.front.End), r.loop.Now()+r.start.Limits.Linger)
+	})
+}
+
+// LogCounters has the counters logged. It may be called from any goroutine.
+func (r *Router) LogCounters() { r.loop.Post(r.Log) }
+
+// Counters returns the counters of a router that is running. It may be called from any goroutine.
+func (r *Router) Counters() Counters {
+	got := make(chan Counters, 1)
+	r.loop.Post(func() { got <- r.snapshot() })
+	return <-got
+}
+
+// Log logs the counters; only for a router that is not running, or from its loop.
+func (r *Router) Log() {
+	c := r.snapshot()
+	r.log.Info().Object("counters", &c).Msg("counters")
+}
+
+func (r *Router) snapshot() Counters {
+	c := r.count
+	c.TakenByGroup = append([]uint64(nil), c.TakenByGroup...)
+	c.ClientsOpen, c.InHand = uint64(r.front.Open()), uint64(r.core.InHand())
+	c.MembersOpen, c.BlocksInUse = uint64(r.core.Members()), uint64(r.blocks.Out())
+	c.LongestTurn = r.loop.Longest()
+	return c
+}
