Tests of the router on sockets; signals are taken before the router says it serves

Found by them: a signal sent right after the line 'serving' was lost, as the handler stood behind it; at the limit of descriptors a client that was told to part kept its descriptor for a second, so that the newest clients were ended next (now the longest idle one that has sent nothing is closed at once); a comment just over the limit was cut to it.

--- a/cmd/stoatdale/main.go
+++ b/cmd/stoatdale/main.go
@@ -26,14 +26,14 @@
 	if err != nil {
 		return err
 	}
+	signals := make(chan os.Signal, 4) // before the router says that it serves, or an early one is lost
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(start.Limits.Memory / 4 * 3) // the rest is for what the run time does not count
 	r, err := service.New(start, zerolog.New(os.Stderr).With().Timestamp().Logger())
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGUSR1 {
--- /dev/null
+++ b/cmd/stoatdale/main_test.go
@@ -0,0 +1,552 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/pg"
+)
+
+// patience ends a test that hangs; no test that passes waits for it.
+const patience = 20 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "stoatdale")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "stoatdale")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// message reads one message of the wire.
+func message(r io.Reader) (kind byte, body []byte, err error) {
+	var head [5]byte
+	if _, err = io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	_, err = io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+// row is an answer of one value.
+func row(value, role string) []byte {
+	b := pg.Message(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
+	b = pg.Message(b, 'D', binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(value))), []byte(value))
+	b = pg.Message(b, 'C', []byte("SELECT 1\x00"))
+	b = pg.Status(b, "lsn_ms", fmt.Sprint(time.Now().UnixMilli()))
+	return pg.Ready(pg.Status(b, "recovery", role))
+}
+
+// member is a stand-in of a member. For each statement it sends what answer returns, and closes the
+// connection if that is nil.
+type member struct {
+	at     string
+	asked  chan string // every statement, in order
+	closed chan struct{}
+	answer func(statement string) []byte
+}
+
+func newMember(t *testing.T, answer func(string) []byte) *member {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	m := &member{at: l.Addr().String(), asked: make(chan string, 1000), closed: make(chan struct{}, 1000), answer: answer}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+	return m
+}
+
+func (m *member) serve(c net.Conn) {
+	defer func() { _ = c.Close(); m.closed <- struct{}{} }()
+	r := bufio.NewReader(c)
+	var n uint32
+	if binary.Read(r, binary.BigEndian, &n) != nil {
+		return
+	}
+	if _, err := r.Discard(int(n) - 4); err != nil {
+		return
+	}
+	_, _ = c.Write(pg.Welcome(nil))
+	for {
+		kind, body, err := message(r)
+		if err != nil || kind != 'Q' {
+			return
+		}
+		statement := string(body[:len(body)-1])
+		if statement == "SHOW health" {
+			_, _ = c.Write(row(fmt.Sprintf("x0=%.3f,x1=0", float64(time.Now().UnixMilli())/1000), "on"))
+			continue
+		}
+		m.asked <- statement
+		b := m.answer(statement)
+		if b == nil {
+			return
+		}
+		_, _ = c.Write(b)
+	}
+}
+
+// discovery is a stand-in of the list's agent. Lists are documents without their generation.
+type discovery struct {
+	at    string
+	mu    sync.Mutex
+	cond  *sync.Cond
+	lists []string // each whole
+	mute  bool
+}
+
+func newDiscovery(t *testing.T, first string) *discovery {
+	d := &discovery{lists: []string{first}}
+	d.cond = sync.NewCond(&d.mu)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d.at = l.Addr().String()
+	s := &http.Server{Handler: d}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { d.list(""); _ = s.Close() })
+	return d
+}
+
+func (d *discovery) list(instances string) {
+	d.mu.Lock()
+	d.lists = append(d.lists, instances)
+	d.mu.Unlock()
+	d.cond.Broadcast()
+}
+
+func (d *discovery) silence() { d.mu.Lock(); d.mute = true; d.mu.Unlock() }
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for q.FormValue("from") == fmt.Sprint(len(d.lists)) || d.mute && len(d.lists) == 1 {
+		d.cond.Wait()
+	}
+	_, _ = fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[%s]}`, len(d.lists), d.lists[len(d.lists)-1])
+}
+
+func entry(m *member, id, state, recovery string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"h","cell":2,"lifecycle":%q,"recovery":%q}`,
+		id, m.at, state, recovery)
+}
+
+// rig is the program with its surroundings.
+type rig struct {
+	t         *testing.T
+	cmd       *exec.Cmd
+	at        string
+	log       chan string
+	discovery *discovery
+}
+
+func settings(probes bool) map[string]any {
+	group := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "effect": effect, "targetNs": 4e9, "deadlineNs": 8e9, "worth": 1}
+	}
+	return map[string]any{"balancers": 1, "tickNs": 5e6, "discovery": "push",
+		"classes": []any{group("look", "pure"), group("order", "side_effect")},
+		"familyInfo": map[string]any{"tokens": "kept", "guards": "none", "needsByClass": []string{"eventual", "mutate"},
+			"classBoundNs": []int{0, 0}},
+		"loadInfo": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
+		"limits": map[string]any{"mostTries": 4, "dialTimeoutNs": 2e9, "connIdleNs": 60e9, "cancel": true,
+			"probes": probes, "retryAfter": true, "maxRetryAfterNs": 1e9},
+		"invariants": map[string]any{"startCapacity": 0.2, "rampTimeNs": 1e9, "overloadFactor": 2, "fallNs": 1e9}}
+}
+
+// start starts the program with a list of members.
+func start(t *testing.T, instances ...string) *rig { return startWith(t, 256, false, instances...) }
+
+// startWith sets the limit of descriptors, and whether members may be probed.
+func startWith(t *testing.T, sockets int, probes bool, instances ...string) *rig {
+	r := &rig{t: t, log: make(chan string, 10000), discovery: newDiscovery(t, strings.Join(instances, ","))}
+	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": r.discovery.at,
+		"seed": "1f", "limits": map[string]any{"memory_mb": 192, "sockets": sockets}, "settings": settings(probes),
+		"known": json.RawMessage(`{"generation":0,"reset":true,"instances":[` + strings.Join(instances, ",") + "]}")})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, config, 0o600))
+	r.cmd = exec.Command(program)
+	r.cmd.Env = []string{"GW_CONFIG=" + path}
+	out, err := r.cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, r.cmd.Start())
+	t.Cleanup(func() { _ = r.cmd.Process.Kill(); _ = r.cmd.Wait() })
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			r.log <- s.Text()
+		}
+		close(r.log)
+	}()
+	r.at = regexp.MustCompile(`"listen":"([^"]+)"`).FindStringSubmatch(r.logged("serving"))[1]
+	return r
+}
+
+// logged waits for a line of the log.
+func (r *rig) logged(what string) string {
+	r.t.Helper()
+	for late := time.After(patience); ; {
+		select {
+		case line, ok := <-r.log:
+			if !ok {
+				require.Fail(r.t, "the program ended", what)
+			}
+			if strings.Contains(line, what) {
+				return line
+			}
+		case <-late:
+			require.Fail(r.t, "not logged", what)
+		}
+	}
+}
+
+func (r *rig) counters() map[string]any {
+	r.t.Helper()
+	require.NoError(r.t, r.cmd.Process.Signal(syscall.SIGUSR1))
+	var line struct{ Counters map[string]any }
+	require.NoError(r.t, json.Unmarshal([]byte(r.logged(`"message":"counters"`)), &line))
+	return line.Counters
+}
+
+// client is one connection to the program.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (r *rig) dial() *client {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.at)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &client{r.t, c, bufio.NewReader(c)}
+}
+
+// client is one that has started up.
+func (r *rig) client() *client {
+	r.t.Helper()
+	c := r.dial()
+	c.send(pg.Hello(nil))
+	c.reply()
+	return c
+}
+
+func (c *client) send(b []byte) {
+	c.t.Helper()
+	_, err := c.Write(b)
+	require.NoError(c.t, err)
+}
+
+// reply reads up to ReadyForQuery, or the end: the value of a row, or an error as its code and detail.
+func (c *client) reply() string {
+	c.t.Helper()
+	said := ""
+	for {
+		kind, body, err := message(c.r)
+		if err != nil {
+			return said + " END"
+		}
+		switch kind {
+		case 'D':
+			said = string(body[6:])
+		case 'I':
+			said = "EMPTY"
+		case 'E':
+			f := map[byte]string{}
+			for _, p := range bytes.Split(body, []byte{0}) {
+				if len(p) > 0 {
+					f[p[0]] = string(p[1:])
+				}
+			}
+			said = strings.TrimSpace(f['C'] + " " + f['D'])
+		case 'Z':
+			return said
+		}
+	}
+}
+
+func (c *client) ask(text string) string {
+	c.t.Helper()
+	c.send(pg.Query(nil, text))
+	return c.reply()
+}
+
+func look(key string) string {
+	return fmt.Sprintf("SELECT doc FROM items WHERE id = '%s' /* id=01,c=look,d=3000,cluster=2 */", key)
+}
+
+func order(key string, wait int) string {
+	return fmt.Sprintf(`INSERT INTO items (id, doc) VALUES ('%s', '\x9f') RETURNING doc /* id=02,c=order,d=%d,k=5c,cluster=2 */`, key, wait)
+}
+
+func says(role string) func(string) []byte {
+	return func(q string) []byte { return row("value of "+strings.Split(q, "'")[1], role) }
+}
+
+func next[T any](t *testing.T, c chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		require.Fail(t, "nothing came")
+		panic("unreachable")
+	}
+}
+
+func TestCommandIsAnsweredWithTheMembersValue(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := start(t, entry(b, "b", "ready", "on"))
+	c := r.client()
+	assert.Equal(t, "value of k1", c.ask(look("k1")))
+	got := next(t, b.asked)
+	wait := regexp.MustCompile(`d=(\d+)`)
+	assert.Equal(t, wait.ReplaceAllString(look("k1"), "d="), wait.ReplaceAllString(got, "d="), "but for d, byte for byte")
+	big := strings.Repeat("z", 40000)
+	assert.Equal(t, "value of "+big, c.ask(look(big)), "what is longer than a buffer chains")
+	n := r.counters()
+	assert.EqualValues(t, 2, n["taken"])
+	assert.EqualValues(t, 2, n["answered"])
+	assert.EqualValues(t, 2, n["dispatches"])
+	assert.EqualValues(t, 2, n["taken_by_group"].(map[string]any)["look"])
+	assert.EqualValues(t, 1, n["clients_open"])
+	assert.Zero(t, n["in_hand"])
+}
+
+func TestEmptyQueryIsAnsweredFromTheStart(t *testing.T) {
+	c := start(t).dial()
+	c.send(append(pg.Hello(nil), pg.Query(nil, "")...))
+	assert.Equal(t, "", c.reply(), "the welcome")
+	assert.Equal(t, "EMPTY", c.reply())
+}
+
+func TestAnswersComeInTheOrderOfTheCommandsHoweverTheyAreSplit(t *testing.T) {
+	first := make(chan struct{})
+	b := newMember(t, func(q string) []byte {
+		if strings.Contains(q, "slow") {
+			<-first
+		}
+		return says("on")(q)
+	})
+	c := start(t, entry(b, "b", "ready", "on")).client()
+	all := pg.Query(pg.Query(pg.Query(nil, look("slow")), ""), look("quick"))
+	for i := range all {
+		c.send(all[i : i+1])
+	}
+	for len(b.asked) < 2 { // both are out at once
+		time.Sleep(time.Millisecond)
+	}
+	close(first)
+	assert.Equal(t, "value of slow", c.reply())
+	assert.Equal(t, "EMPTY", c.reply())
+	assert.Equal(t, "value of quick", c.reply())
+}
+
+func TestWriteMissedAtAReplicaGoesToThePrimary(t *testing.T) {
+	miss := func(string) []byte {
+		return pg.Ready(pg.Status(pg.Error(nil, false, pg.CodeNotPrimary, "read only", ""), "recovery", "on"))
+	}
+	a, b := newMember(t, miss), newMember(t, says("off"))
+	r := start(t, entry(a, "a", "ready", "off"), entry(b, "b", "ready", "on"))
+	assert.Equal(t, "value of w", r.client().ask(order("w", 6000)))
+	assert.Len(t, a.asked, 1)
+	assert.Len(t, b.asked, 1)
+}
+
+func TestWriteThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	a, b := newMember(t, func(string) []byte { return nil }), newMember(t, says("on"))
+	r := start(t, entry(a, "a", "ready", "off"), entry(b, "b", "ready", "on"))
+	assert.Equal(t, pg.CodeFailed, r.client().ask(order("w", 6000)), "failed, and not throttled")
+	assert.Len(t, a.asked, 1)
+	assert.Empty(t, b.asked)
+	assert.EqualValues(t, 1, r.counters()["outcomes"].(map[string]any)["broken"])
+}
+
+func TestMemberOutOfReachHasNeverRun(t *testing.T) {
+	b := newMember(t, says("off"))
+	r := start(t, strings.Replace(entry(b, "a", "ready", "off"), b.at, "127.0.0.1:1", 1), entry(b, "b", "ready", "on"))
+	assert.Equal(t, "value of w", r.client().ask(order("w", 6000)), "so it may go to another")
+}
+
+func TestTimeOutAnswersTheClientAndClosesTheConnection(t *testing.T) {
+	hang := make(chan struct{})
+	defer close(hang)
+	a := newMember(t, func(string) []byte { <-hang; return nil })
+	r := start(t, entry(a, "a", "ready", "off"))
+	began := time.Now()
+	assert.Equal(t, pg.CodeFailed, r.client().ask(order("w", 300)))
+	assert.GreaterOrEqual(t, time.Since(began), 250*time.Millisecond)
+	assert.EqualValues(t, 1, r.counters()["outcomes"].(map[string]any)["timed_out"])
+}
+
+func TestDrainingMemberGetsNothingNew(t *testing.T) {
+	a, b := newMember(t, says("on")), newMember(t, says("on"))
+	r := start(t, entry(a, "a", "ready", "on"))
+	c := r.client()
+	assert.Equal(t, "value of k", c.ask(look("k")))
+	r.discovery.list(entry(a, "a", "draining", "on") + "," + entry(b, "b", "ready", "on"))
+	r.logged(`"generation":2`)
+	for range 10 {
+		assert.Equal(t, "value of k", c.ask(look("k")))
+	}
+	assert.Len(t, a.asked, 1)
+	assert.Len(t, b.asked, 10)
+}
+
+func TestClientThatLeavesHasItsDispatchCalledOff(t *testing.T) {
+	hang := make(chan struct{})
+	defer close(hang)
+	b := newMember(t, func(q string) []byte {
+		if strings.Contains(q, "'gone'") {
+			<-hang
+		}
+		return says("on")(q)
+	})
+	r := start(t, entry(b, "b", "ready", "on"))
+	c := r.client()
+	c.send(pg.Query(nil, look("gone")))
+	next(t, b.asked)
+	_ = c.Close()
+	for r.counters()["left"] != 1.0 {
+	}
+	assert.EqualValues(t, 1, r.counters()["recalls"])
+	assert.Equal(t, "value of k", r.client().ask(look("k")))
+}
+
+func TestMemberConnectionIsUsedAgain(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := start(t, entry(b, "b", "ready", "on"))
+	c := r.client()
+	for range 5 {
+		assert.Equal(t, "value of k", c.ask(look("k")))
+	}
+	assert.EqualValues(t, 1, r.counters()["dialled"])
+	assert.Empty(t, b.closed)
+}
+
+func TestMembersAreProbedForTheirReport(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := startWith(t, 256, true, entry(b, "b", "ready", "on"))
+	for r.counters()["probes"] == 0.0 {
+	}
+	assert.Equal(t, "value of k", r.client().ask(look("k")))
+	assert.Zero(t, r.counters()["probes_failed"])
+	assert.Len(t, b.asked, 1, "no statement but the client's and SHOW health")
+}
+
+func TestSilentDiscoveryLeavesTheLastList(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := start(t, entry(b, "b", "ready", "on"))
+	r.discovery.silence()
+	assert.Equal(t, "value of k", r.client().ask(look("k")))
+}
+
+func TestTermAnswersWhatIsInHandAndEndsWithZero(t *testing.T) {
+	hold := make(chan struct{})
+	b := newMember(t, func(q string) []byte { <-hold; return says("on")(q) })
+	r := start(t, entry(b, "b", "ready", "on"))
+	c, idle := r.client(), r.client()
+	c.send(pg.Query(nil, look("k")))
+	next(t, b.asked)
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	late := r.client() // it goes on accepting for a while
+	assert.Equal(t, "EMPTY", late.ask(""))
+	assert.Equal(t, " END", idle.reply(), "connections between commands are ended")
+	close(hold)
+	assert.Equal(t, "value of k", c.reply())
+	assert.Equal(t, " END", c.reply())
+	_ = c.Close()
+	_ = idle.Close()
+	_ = late.Close()
+	assert.Contains(t, r.logged(`"message":"counters"`), `"answered":1`)
+	assert.NoError(t, r.cmd.Wait())
+}
+
+func TestBadInputIsToldAndTheConnectionGoesOnWhereItCan(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := start(t, entry(b, "b", "ready", "on"))
+	c := r.client()
+	for text, code := range map[string]string{
+		"SELECT 1": pg.CodeSyntax,
+		strings.Replace(look("k"), "c=look", "c=gaze", 1):        pg.CodeValue,
+		strings.Replace(look("k"), "cluster=2", "cluster=9", 1):  pg.CodeValue,
+		strings.Replace(look("k"), "d=3000", "d=much", 1):        pg.CodeSyntax,
+		strings.Replace(look("k"), "SELECT", "SELECT 1; SEL", 1): pg.CodeSyntax,
+	} {
+		assert.Equal(t, code, c.ask(text), text)
+	}
+	c.send(pg.Message(pg.Message(nil, 'P', []byte("x\x00\x00\x00\x00")), 'S'))
+	assert.Equal(t, pg.CodeUnsupported, c.reply(), "extended queries, up to Sync")
+	assert.Equal(t, "value of k", c.ask(look("k")))
+	for _, fatal := range []string{"Q\xff\xff\xff\xff", "Q\x7f\x00\x00\x00", "Q\x00\x00\x00\x01", "?\x00\x00\x00\x04"} {
+		c := r.client()
+		c.send([]byte(fatal))
+		assert.Equal(t, pg.CodeProtocol+" END", c.reply(), "%q", fatal)
+	}
+	c = r.dial()
+	c.send([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2f"))
+	no, err := c.r.ReadByte()
+	require.NoError(t, err)
+	assert.Equal(t, byte('N'), no, "no encryption")
+	c.send([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2e"))
+	assert.Equal(t, " END", c.reply(), "cancel closes")
+}
+
+func TestIdleClientsMakeRoomNearTheLimitOfDescriptors(t *testing.T) {
+	r := startWith(t, 64, false)
+	for range 100 {
+		assert.Equal(t, "EMPTY", r.client().ask(""))
+	}
+	n := r.counters()
+	assert.EqualValues(t, 100, n["clients_accepted"])
+	assert.Greater(t, n["clients_shed"], 50.0)
+}
+
+func TestFaultyConfigurationEndsWithOneLine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"x"}`), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = []string{"GW_CONFIG=" + path}
+	out, err := cmd.CombinedOutput()
+	var status *exec.ExitError
+	require.ErrorAs(t, err, &status)
+	assert.Equal(t, 1, status.ExitCode())
+	assert.Contains(t, string(out), "discovery:")
+	assert.Equal(t, 1, strings.Count(string(out), "\n"))
+}
--- /dev/null
+++ b/internal/buffer/buffer_test.go
@@ -0,0 +1,71 @@
+package buffer
+
+import (
+	"bytes"
+	"math/rand"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func all(c *Chain) []byte {
+	b := make([]byte, c.Len())
+	c.Peek(b)
+	return b
+}
+
+func TestChainHoldsWhatWasWrittenInOrder(t *testing.T) {
+	p := NewPool(8, 100)
+	c, want, draw := p.New(), []byte{}, rand.New(rand.NewSource(1))
+	for i := range 5000 {
+		piece := bytes.Repeat([]byte{byte(i)}, draw.Intn(30))
+		switch draw.Intn(3) {
+		case 0:
+			c.Write(piece)
+			want = append(want, piece...)
+		case 1:
+			n := copy(c.Room(), piece)
+			c.Grow(n)
+			want = append(want, piece[:n]...)
+		case 2:
+			n := min(draw.Intn(40), len(want))
+			c.Skip(n)
+			want = want[n:]
+		}
+		require.Equal(t, len(want), c.Len())
+		require.Equal(t, append([]byte{}, want...), all(&c))
+		if len(want) > 0 {
+			require.Equal(t, want[0], c.First()[0])
+		} else {
+			require.Zero(t, p.Out(), "an empty chain holds no block")
+		}
+	}
+	c.Free()
+	assert.Zero(t, p.Out())
+}
+
+func TestPartOfAChainIsCopied(t *testing.T) {
+	p := NewPool(4, 100)
+	a, b := p.New(), p.New()
+	a.Write([]byte("xxabcdefghij"))
+	a.Skip(2)
+	a.CopyTo(&b, 3, 6)
+	assert.Equal(t, "defghi", string(all(&b)))
+	assert.Equal(t, "abcdefghij", string(all(&a)), "the first is as it was")
+}
+
+func TestBlocksAreUsedAgainAndCounted(t *testing.T) {
+	p := NewPool(4, 2)
+	c := p.New()
+	c.Write(make([]byte, 4))
+	assert.False(t, p.Scarce())
+	c.Write(make([]byte, 4))
+	assert.True(t, p.Scarce())
+	first := &c.First()[0]
+	c.Skip(4)
+	assert.False(t, p.Scarce())
+	d := p.New()
+	d.Write([]byte{1})
+	assert.Same(t, first, &d.First()[0])
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -256,6 +256,9 @@
 			State: router.NodeState(m.State), Started: started, Primary: m.Primary})
 	}
 	o.router.Listed(now, facts, l.list.Whole || l.cached, l.cached)
+	if len(facts) == 0 { // a watch that brought nothing
+		return
+	}
 	o.log.Info().Int64("generation", l.list.Generation).Bool("whole", l.list.Whole).Bool("known", l.cached).
 		Int("members", len(l.list.Members)).Msg("list")
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 
 // Front is a listener and its clients.
 type Front struct {
+	At     netip.AddrPort // where it listens
 	loop   *loop.Loop
 	limits *site.Limits
 	blocks *buffer.Pool
@@ -50,6 +51,9 @@
 	if f.listener, err = loop.Listen(at, limits.Backlog); err != nil {
 		return nil, err
 	}
+	if f.At, err = loop.Bound(f.listener); err != nil {
+		return nil, err
+	}
 	return f, l.Add(f.listener, f, true, false)
 }
 
@@ -104,15 +108,17 @@
 	f.loop.Set(f.resume, f.loop.Now()+f.limits.Pause)
 }
 
-// shed ends the connection that has been between commands for the longest.
+// shed closes the connection that has been between commands for the longest. One that has sent something
+// that was not read yet is spared.
 func (f *Front) shed() bool {
-	e := f.idle.Front()
-	if e == nil {
-		return false
+	for e := f.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); loop.Quiet(c.fd) {
+			f.count.Shed++
+			c.close()
+			return true
+		}
 	}
-	f.count.Shed++
-	e.Value.(*conn).drop()
-	return true
+	return false
 }
 
 // Refresh reads on where buffers were scarce.
@@ -473,12 +479,6 @@
 	c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Farewell)
 }
 
-// drop is part for a connection that no turn of its own is at work on.
-func (c *conn) drop() {
-	c.part()
-	c.watch()
-}
-
 // close ends the connection; the commands in hand have lost their client.
 func (c *conn) close() {
 	if c.state == closed {
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -44,6 +44,21 @@
 	return fd, nil
 }
 
+// Bound is the address that a listening socket got.
+func Bound(fd int) (netip.AddrPort, error) {
+	where, err := unix.Getsockname(fd)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("asking for the address: %w", err)
+	}
+	switch a := where.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)), nil
+	}
+	return netip.AddrPort{}, errors.New("asking for the address: unknown family")
+}
+
 // Accept takes one connection; false: none waits. An error is a lack of descriptors or memory.
 func Accept(listener int) (fd int, ok bool, err error) {
 	for {
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -91,7 +91,9 @@
 			s.prev = 0
 			if s.depth--; s.depth == 0 {
 				s.place = plain
-				s.comment = s.comment[:max(0, len(s.comment)-1)]
+				if len(s.comment) <= mostComment {
+					s.comment = s.comment[:max(0, len(s.comment)-1)] // its end's star
+				}
 				return
 			}
 		case prev == '/' && c == '*':
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,100 @@
+package site
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/router"
+)
+
+const config = `{"name":"n3","listen":"127.0.0.4:5432","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"memory_mb":100,"sockets":600},"unheardOf":1,
+ "known":{"generation":41,"reset":true,"instances":[]},
+ "settings":{"balancers":3,"me":2,"zones":["h1","h2"],"tickNs":5000000,"discovery":"push",
+  "classes":[{"name":"basket","effect":"pure","targetNs":500000000,"deadlineNs":2000000000,"worth":1},
+   {"name":"order","effect":"token","keyScope":"cell","targetNs":500000000,"deadlineNs":2000000000,"worth":2}],
+  "familyInfo":{"tokens":"kept","guards":"none","needsByClass":["causal","mutate"],"classBoundNs":[0,0],"zeroNs":5},
+  "loadInfo":{"source":"probe","fields":["x0","x1"]},
+  "limits":{"mostTries":4,"dialTimeoutNs":250000000,"connIdleNs":15000000000,"probes":true}}}`
+
+func load(t *testing.T, text string, env map[string]string) (Start, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return Load(func(name string) string {
+		if name == "GW_CONFIG" {
+			return path
+		}
+		return env[name]
+	})
+}
+
+func TestConfigurationIsRead(t *testing.T) {
+	s, err := load(t, config, map[string]string{"GW_NAME": "n3"})
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.4:5432", s.Listen.String())
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), s.Seed)
+	assert.Equal(t, int64(41), s.Known.Generation)
+	assert.Equal(t, []string{"basket", "order"}, s.Told.Names)
+	assert.Equal(t, 2, s.Told.Me)
+	assert.True(t, s.Told.Reports)
+	assert.Equal(t, router.NeedWrite, s.Told.Groups[1].Need)
+	assert.InDelta(t, 0.25, s.Limits.Dial, 1e-9)
+	assert.Less(t, s.Limits.Idle, 0.8*15, "closed well before the member does")
+	assert.Less(t, s.Limits.Clients+s.Limits.Members, 600, "some descriptors are kept back")
+	assert.Less(t, int64(s.Limits.Blocks*s.Limits.Block), s.Limits.Memory)
+}
+
+func TestLimitsHaveDefaults(t *testing.T) {
+	s, err := load(t, strings.Replace(config, `"memory_mb":100,"sockets":600`, "", 1), nil)
+	require.NoError(t, err)
+	assert.Equal(t, int64(defaultMemoryMB)<<20, s.Limits.Memory)
+	assert.Equal(t, defaultSockets, s.Limits.Sockets)
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for says, change := range map[string][2]string{
+		"name is missing":               {`"name":"n3"`, `"nam":"n3"`},
+		"listen:":                       {"127.0.0.4:5432", "127.0.0.4"},
+		"discovery:":                    {"127.2.0.1:8500", "somewhere"},
+		"seed:":                         {"8c1f30d27a5be964", "xyz"},
+		"known is missing":              {`"known"`, `"now"`},
+		"known: list: generation":       {`"generation":41,`, ""},
+		"settings is missing":           {`"settings"`, `"setting"`},
+		"limits.memory_mb":              {`"memory_mb":100`, `"memory_mb":-1`},
+		"limits.sockets":                {`"sockets":600`, `"sockets":10`},
+		"limits.sockets of type int":    {`"sockets":600`, `"sockets":"many"`},
+		"classes is missing":            {`"classes"`, `"class"`},
+		"classes[1].name":               {"order", "basket"},
+		"classes[0]: targetNs":          {`"targetNs"`, `"target"`},
+		"classes[1].keyScope":           {`"keyScope":"cell"`, `"keyScope":"moon"`},
+		"familyInfo.tokens":             {"kept", "lost"},
+		"familyInfo.needsByClass":       {"causal", "casual"},
+		"limits.dialTimeoutNs":          {"dialTimeoutNs", "dialTimeout"},
+		"limits.connIdleNs":             {"connIdleNs", "connIdle"},
+		"limits.mostTries":              {`"mostTries":4`, `"mostTries":0`},
+		"GW_CONFIG: unexpected end":     {`"probes":true}}}`, ""},
+		"classes.worth of type float64": {`"worth":2`, `"worth":"much"`},
+	} {
+		require.Contains(t, config, change[0])
+		_, err := load(t, strings.Replace(config, change[0], change[1], 1), nil)
+		assert.ErrorContains(t, err, says)
+	}
+}
+
+func TestVariablesAndFileMustAgree(t *testing.T) {
+	_, err := load(t, config, map[string]string{"GW_LISTEN": "127.0.0.9:1"})
+	assert.ErrorContains(t, err, "GW_LISTEN")
+	s, err := load(t, strings.Replace(config, `"listen"`, `"other"`, 1), map[string]string{"GW_LISTEN": "127.0.0.9:1"})
+	require.NoError(t, err, "a variable stands in for a key that is not there")
+	assert.Equal(t, "127.0.0.9:1", s.Listen.String())
+	_, err = Load(func(string) string { return "" })
+	assert.ErrorContains(t, err, "GW_CONFIG is not set")
+	_, err = Load(func(string) string { return "/nowhere/at/all" })
+	assert.ErrorContains(t, err, "GW_CONFIG")
+}
--- a/service/service.go
+++ b/service/service.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log.Info().Str("name", s.Name).Stringer("listen", s.Listen).Msg("serving")
+	log.Info().Str("name", s.Name).Stringer("listen", r.front.At).Msg("serving")
 	return r, nil
 }
 
