--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 package router
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -16,6 +17,7 @@
 	spillShare   = 0.2     // of this router's reads in the last second may go to the primary
 	spillSlots   = 10      // in which that second is counted
 	catchUp      = 0.1     // seconds that a read waits for a replica
+	holdShare    = 0.5     // of its client's time after which a command that was never sent is given up
 	pollShare    = 0.05    // of catchUp between two looks at a waiting command
 	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
 	lowCut       = 0.4     // of the queueing room that the least beneficial group has
@@ -261,7 +263,8 @@
 	}
 }
 
-// Place answers where to send a command, or not yet, or never.
+// Place answers where to send a command, or not yet, or never. What nobody could take by half of its
+// client's time is given back while the client can still try elsewhere. Harm: some would have found a place.
 func (r *Router) Place(now float64, c *Command) Answer {
 	g := &r.groups[c.Group]
 	if !c.asked {
@@ -271,7 +274,8 @@
 		return r.review(now, c, g, i)
 	}
 	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
-		c.runs >= mostRuns || !r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) {
+		c.runs >= mostRuns || !r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) ||
+		len(c.Legs) == 0 && now+2*r.site.Tick > c.Arrived+holdShare*(c.GiveUp-c.Arrived) {
 		return r.never(now, c, g)
 	}
 	at, spilled := r.choose(now, c, g)
@@ -313,11 +317,10 @@
 
 // session is what is remembered of a session, if anything.
 func (r *Router) session(id uint64) session {
-	if s, ok := r.young[id]; ok {
-		return s
-	}
-	if s, ok := r.old[id]; ok {
-		return s
+	for _, generation := range []map[uint64]session{r.young, r.old} {
+		if s, ok := generation[id]; ok {
+			return s
+		}
 	}
 	return session{token: math.Inf(-1), seen: math.Inf(-1)}
 }
@@ -614,11 +617,7 @@
 
 // patience is how long a node may stay silent after a dispatch; lone lost answers do not count.
 func (r *Router) patience(n *node) float64 {
-	mean := r.mean(n)
-	if mean == 0 {
-		mean = testShare * r.span
-	}
-	return mean * (1 + quietAlone/float64(max(1, n.unheard)))
+	return cmp.Or(r.mean(n), testShare*r.span) * (1 + quietAlone/float64(max(1, n.unheard)))
 }
 
 func (r *Router) fadeNode(now float64, n *node) {
@@ -742,9 +741,7 @@
 func (r *Router) Left(now float64, c *Command) int {
 	g := &r.groups[c.Group]
 	if age := now - c.Arrived; now < c.GiveUp-r.site.Tick && age > r.site.Tick {
-		if g.stay == 0 {
-			g.stay = age
-		}
+		g.stay = cmp.Or(g.stay, age)
 		g.left += groupWeight * (1 - g.left)
 		g.stay += groupWeight * (age - g.stay)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -559,3 +559,20 @@
 	_, up = r.Wait(30)
 	assert.False(t, up.Follow, "subscribed")
 }
+
+func TestCommandNeverSentIsGivenUpByHalfOfItsClientsTime(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i := range r.nodes {
+		r.nodes[i].drains = true
+	}
+	c := command(gAny)
+	c.GiveUp = 10.4 // well before the target
+	assert.Equal(t, Hold, r.Place(10.15, c).Verdict)
+	assert.Equal(t, Throttle, r.Place(10.195, c).Verdict, "in time for a look a tick later")
+	c = command(gAny)
+	c.GiveUp = 10.4
+	r.nodes[1].drains = false
+	require.Equal(t, Send, r.Place(10, c).Verdict)
+	r.nodes[2].drains = false
+	assert.Equal(t, Send, r.After(10.25, c, Outcome{Ending: Full, Position: -1}).Verdict, "one that was sent goes on")
+}
