Reports on answers are heard; answers leave a tick ahead of the client's timeout; tests of parts

Seen on rereading: a command's time ended when the client's did, so that an answer to a time-out came after it by its way through the network; the router now keeps one tick of the settings for that. Reports beside answers were read and then dropped; where settings say that answers hold them they go to the module. A report that is not a number is passed over. The longest turn counted the time before the first. Loop, members and discovery have tests of their own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,7 +70,6 @@
 // act is one thing to carry out.
 type act struct {
 	dispatch *member.Dispatch
-	node     int
 	recall   *member.Dispatch
 }
 
@@ -279,7 +278,7 @@
 	for _, part := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
 			continue
 		}
 		switch name {
@@ -307,6 +306,9 @@
 		said.Position = (float64(e.answer.Position) - o.zeroMs) / 1000
 	}
 	o.hand.Ended(now, e.d.ID, said)
+	if position, primary := o.report(e.answer.Health); position >= 0 && o.told.OnAnswers {
+		o.router.Probed(now, e.d.Node, true, e.took, position, primary)
+	}
 	if e.ending == router.Answered && c != nil && !c.done {
 		o.count.Answered++
 		c.Front.Answered(c, &e.answer.Row)
@@ -349,7 +351,7 @@
 		case o.cmds[a.dispatch.ID] == nil: // its client left in this same turn
 			o.Ended(a.dispatch, router.Moot, 0, nil)
 		default:
-			o.members.Send(a.node, a.dispatch)
+			o.members.Send(a.dispatch)
 		}
 	}
 	clear(o.acts)
@@ -359,9 +361,9 @@
 // Dispatch implements hand.Out.
 func (o *Core) Dispatch(id uint32, leg, node int, until float64) {
 	c := o.cmds[id]
-	d := &member.Dispatch{ID: id, Leg: leg, Text: &c.Text, From: c.From, To: c.To, Until: until}
+	d := &member.Dispatch{ID: id, Leg: leg, Node: node, Text: &c.Text, From: c.From, To: c.To, Until: until}
 	c.dispatch = d
-	o.acts = append(o.acts, act{dispatch: d, node: node})
+	o.acts = append(o.acts, act{dispatch: d})
 }
 
 // Recall implements hand.Out.
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,143 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/roster"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// watcher is a watch of an agent that says one reply after the other; "" closes the connection instead,
+// and "silence" says nothing.
+type watcher struct {
+	asked chan string
+	w     *Watch
+	l     *loop.Loop
+	told  []string
+	want  int
+}
+
+func (w *watcher) tell(what string) {
+	if w.told = append(w.told, what); len(w.told) == w.want {
+		w.l.Stop()
+	}
+}
+
+func (w *watcher) Listed(l roster.List) { w.tell(fmt.Sprint(l.Generation, " ", l.Whole)) }
+func (w *watcher) ListFailed()          { w.tell("failed") }
+
+func newWatcher(t *testing.T, onAsk bool, says ...string) *watcher {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = n.Close() })
+	w := &watcher{asked: make(chan string, 100)}
+	go func() {
+		for {
+			c, err := n.Accept()
+			if err != nil {
+				return
+			}
+			for r := bufio.NewReader(c); ; {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				w.asked <- q.URL.RequestURI()
+				if len(says) == 0 {
+					continue // hold the call
+				}
+				say := says[0]
+				says = says[1:]
+				if say == "" {
+					break
+				}
+				if say != "silence" {
+					_, _ = fmt.Fprint(c, say)
+				}
+			}
+			_ = c.Close()
+		}
+	}()
+	w.l, err = loop.New()
+	require.NoError(t, err)
+	limits := &site.Limits{Read: 1 << 16, Page: 1 << 16, Watch: 60, Late: 0.2, Pause: 0.01, LongPause: 0.02}
+	w.w = New(w.l, limits, netip.MustParseAddrPort(n.Addr().String()), onAsk, buffer.NewPool(16, 1000), w, zerolog.Nop())
+	return w
+}
+
+// run turns the loop until so much was told.
+func (w *watcher) run(t *testing.T, want int) []string {
+	t.Helper()
+	w.want = want
+	late := time.Now().Add(20 * time.Second)
+	require.NoError(t, w.l.Run(func(now float64) float64 {
+		if time.Now().After(late) {
+			w.l.Stop()
+		}
+		return now + 1
+	}))
+	return w.told
+}
+
+func list(generation int, whole bool) string {
+	body := fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[]}`, generation, whole)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func TestWatchGoesOnFromTheLastGeneration(t *testing.T) {
+	w := newWatcher(t, false, list(4, true), list(6, false), list(2, true))
+	w.w.Ask()
+	assert.Equal(t, []string{"4 true", "6 false", "2 true"}, w.run(t, 3), "a whole list may go back")
+	assert.Equal(t, "/registry/instances", <-w.asked)
+	assert.Equal(t, "/registry/instances?from=4&hold_ms=60000", <-w.asked)
+	assert.Equal(t, "/registry/instances?from=6&hold_ms=60000", <-w.asked)
+	assert.Equal(t, "/registry/instances?from=2&hold_ms=60000", <-w.asked)
+}
+
+func TestFailedCallIsToldAndBegunAnewWithTheWholeList(t *testing.T) {
+	for what, bad := range map[string]string{
+		"closed": "", "silent": "silence", "nonsense": "SSH-2.0-x\r\n",
+		"status": "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "no list": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"changes of nothing": list(3, false),
+	} {
+		w := newWatcher(t, false, bad, list(5, true), list(4, false), list(7, true))
+		w.w.Ask()
+		w.w.Ask() // it is on already
+		assert.Equal(t, []string{"failed", "5 true", "failed", "7 true"}, w.run(t, 4), what)
+		for range 2 {
+			assert.Equal(t, "/registry/instances", <-w.asked, what)
+		}
+	}
+}
+
+func TestWatchThatMustBeAskedForEndsWithAFailure(t *testing.T) {
+	w := newWatcher(t, true, list(4, true), "", list(5, true))
+	w.w.Ask()
+	assert.Equal(t, []string{"4 true", "failed"}, w.run(t, 2))
+	assert.Equal(t, -1, w.w.fd)
+	assert.False(t, w.w.timer.IsSet(), "the next call waits to be asked for")
+	w.w.Ask()
+	assert.Equal(t, "5 true", w.run(t, 3)[2])
+}
+
+func TestNobodyListening(t *testing.T) {
+	w := newWatcher(t, false)
+	w.w.at = netip.MustParseAddrPort("127.0.0.1:1")
+	w.w.Ask()
+	assert.Equal(t, []string{"failed", "failed", "failed"}, w.run(t, 3), "it is dialled again and again")
+	w.w.Close()
+	w.w.Ask()
+	assert.Equal(t, -1, w.w.fd)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -369,7 +369,7 @@
 		return
 	}
 	cmd := &core.Command{Group: group, Set: set, Session: st.Session, Repeat: st.Repeat,
-		GiveUp: c.since + st.Wait, Text: c.f.blocks.New(), From: st.From, To: st.To, Front: c.f}
+		GiveUp: c.since + st.Wait - c.f.limits.Way, Text: c.f.blocks.New(), From: st.From, To: st.To, Front: c.f}
 	if st.WriteAt > 0 {
 		cmd.WriteAge = math.Max(0, c.f.core.Age(st.WriteAt))
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -141,11 +141,13 @@
 // mostEvents is what one turn gathers at most, so that no turn grows long.
 const mostEvents = 256
 
-// Run turns until Stop: descriptors, timers, then settle, which says when it wants to be called at the
+// Run turns until Stop, and may be called again: descriptors, timers, then settle, which says when it wants to be called at the
 // latest.
 func (l *Loop) Run(settle func(now float64) float64) error {
 	ready := make([]unix.EpollEvent, mostEvents)
 	next := 0.0
+	l.tick()
+	l.polled, l.stopped = l.now, false
 	for !l.stopped {
 		l.tick()
 		l.longest = math.Max(l.longest, l.now-l.polled)
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,131 @@
+package loop
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+)
+
+func newLoop(t *testing.T) *Loop {
+	l, err := New()
+	require.NoError(t, err)
+	return l
+}
+
+func TestTimersFireInTheirOrderAndOnce(t *testing.T) {
+	l, fired := newLoop(t), ""
+	note := func(s string) *Timer { return NewTimer(func() { fired += s }) }
+	a, b, c, d := note("a"), note("b"), note("c"), note("d")
+	l.Set(a, 0.003)
+	l.Set(b, 0.001)
+	l.Set(c, 0.002)
+	l.Set(d, 0.002)
+	l.Set(a, 0) // instead of the first time
+	l.Unset(d)
+	l.Unset(d)
+	require.NoError(t, l.Run(func(now float64) float64 {
+		if now > 0.01 {
+			l.Stop()
+		}
+		return now + 0.002
+	}))
+	assert.Equal(t, "abc", fired)
+	assert.False(t, a.IsSet())
+}
+
+func TestPostedCallsWakeTheLoop(t *testing.T) {
+	l, called := newLoop(t), 0
+	go func() {
+		l.Post(func() { called++ })
+		l.Post(func() { called++; l.Stop() })
+	}()
+	require.NoError(t, l.Run(func(now float64) float64 { return now + 1000 }))
+	assert.Equal(t, 2, called)
+}
+
+// spy notes what its descriptor was ready for.
+type spy struct{ ready func(readable, writable bool) }
+
+func (s spy) Ready(readable, writable bool) { s.ready(readable, writable) }
+
+func TestEventsOfAClosedDescriptorGoNowhere(t *testing.T) {
+	l := newLoop(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	at := netip.MustParseAddrPort(listener.Addr().String())
+	var fds [2]int
+	calls := 0
+	for i := range fds {
+		fds[i], err = Dial(at)
+		require.NoError(t, err)
+		require.NoError(t, l.Add(fds[i], spy{func(_, writable bool) {
+			calls++
+			assert.True(t, writable)
+			l.Close(fds[1-i]) // both are ready in this turn
+			l.Stop()
+		}}, false, true))
+	}
+	time.Sleep(10 * time.Millisecond)
+	require.NoError(t, l.Run(func(now float64) float64 { return now + 1 }))
+	assert.Equal(t, 1, calls)
+}
+
+func TestReadAndWriteGoByChains(t *testing.T) {
+	listener, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), 5)
+	require.NoError(t, err)
+	defer Discard(listener)
+	_, ok, err := Accept(listener)
+	require.NoError(t, err)
+	require.False(t, ok, "nobody waits")
+	at, err := Bound(listener)
+	require.NoError(t, err)
+	c, err := net.Dial("tcp", at.String())
+	require.NoError(t, err)
+	fd, ok, err := Accept(listener)
+	require.NoError(t, err)
+	require.True(t, ok)
+	defer Discard(fd)
+	assert.True(t, Quiet(fd))
+
+	_, err = c.Write([]byte("hello, this is longer than a block"))
+	require.NoError(t, err)
+	assert.False(t, Quiet(fd))
+	in := buffer.NewPool(8, 10).New()
+	n, err := Read(fd, &in, 100)
+	require.NoError(t, err)
+	assert.Equal(t, 34, n)
+	require.NoError(t, Write(fd, &in))
+	assert.Zero(t, in.Len())
+	back := make([]byte, 34)
+	_, err = c.Read(back)
+	require.NoError(t, err)
+	assert.Equal(t, "hello, this is longer than a block", string(back))
+	_ = c.Close()
+	_, err = Read(fd, &in, 100)
+	assert.ErrorIs(t, err, ErrEnded)
+	assert.False(t, Quiet(fd), "an ended connection is not quiet")
+}
+
+func TestWaitingBytesCountFromTheLastPoll(t *testing.T) {
+	l := newLoop(t)
+	turn, slow := 0, 0.0
+	require.NoError(t, l.Run(func(now float64) float64 {
+		switch turn++; turn {
+		case 1:
+			slow = now
+			time.Sleep(20 * time.Millisecond)
+			l.Post(func() { assert.LessOrEqual(t, l.Since(), slow, "what came in the slow turn") })
+			return now
+		}
+		l.Stop()
+		return now
+	}))
+	assert.GreaterOrEqual(t, l.Longest(), 0.02)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,6 +18,7 @@
 type Dispatch struct {
 	ID       uint32
 	Leg      int
+	Node     int
 	Text     *buffer.Chain // the statement, final zero included
 	From, To int           // where the digits of the time to wait stand in it
 	Until    float64       // when the router stops waiting
@@ -102,10 +103,10 @@
 }
 
 // Send carries a dispatch out: over a standing connection, or a new one.
-func (m *Members) Send(node int, d *Dispatch) {
+func (m *Members) Send(d *Dispatch) {
 	m.count.Dispatches++
 	d.sent = m.loop.Now()
-	c := m.take(node)
+	c := m.take(d.Node)
 	if c == nil {
 		m.sink.Ended(d, router.Unreached, 0, nil)
 		return
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,314 @@
+package member
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// bench is Members with one node, whose listener the test works itself.
+type bench struct {
+	t       *testing.T
+	m       *Members
+	l       *loop.Loop
+	blocks  *buffer.Pool
+	count   count.Counters
+	node    net.Listener
+	endings []router.Ending
+	values  []string
+	probes  []bool
+	reports []string
+}
+
+func (b *bench) Ended(_ *Dispatch, e router.Ending, _ float64, a *pg.Answer) {
+	b.endings = append(b.endings, e)
+	if a != nil {
+		b.values = append(b.values, a.Report)
+		a.Row.Free()
+	}
+}
+
+func (b *bench) Probed(_ int, ok bool, _ float64, report string) {
+	b.probes, b.reports = append(b.probes, ok), append(b.reports, report)
+}
+
+func listener(t *testing.T) net.Listener {
+	// Small receive buffers, so that a long statement cannot be written whole to a member that does not read.
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+		})
+	}}
+	n, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, blocks: buffer.NewPool(4096, 1<<20), node: listener(t)}
+	var err error
+	b.l, err = loop.New()
+	require.NoError(t, err)
+	limits := &site.Limits{Read: 1 << 16, Answer: 1 << 17, Members: 4, Dial: 30, Probe: 30, Idle: 60}
+	b.m = New(b.l, limits, b.blocks, b, &b.count)
+	b.place(b.node)
+	return b
+}
+
+func (b *bench) place(n net.Listener) {
+	b.m.Place(0, netip.MustParseAddrPort(n.Addr().String()), false)
+}
+
+func (b *bench) send(text string, until float64) *Dispatch {
+	c := b.blocks.New()
+	c.Write([]byte(text + "\x00"))
+	d := &Dispatch{Text: &c, From: 2, To: 4, Until: until}
+	b.m.Send(d)
+	return d
+}
+
+// run turns the loop until something holds.
+func (b *bench) run(until func() bool) {
+	b.t.Helper()
+	late := time.Now().Add(20 * time.Second)
+	require.NoError(b.t, b.l.Run(func(now float64) float64 {
+		if until() || time.Now().After(late) {
+			b.l.Stop()
+		}
+		return now + 0.002
+	}))
+	require.True(b.t, until(), "waited for in vain")
+}
+
+func (b *bench) ended(n int) func() bool { return func() bool { return len(b.endings) == n } }
+
+// accept takes the member's side of a connection and greets, while the loop turns.
+func (b *bench) accept() net.Conn {
+	b.t.Helper()
+	done := make(chan net.Conn, 1)
+	go func() {
+		c, err := b.node.Accept()
+		if err == nil {
+			_, _ = io.ReadFull(c, make([]byte, len(pg.Hello(nil))))
+			_, _ = c.Write(pg.Welcome(nil))
+		}
+		done <- c
+	}()
+	var c net.Conn
+	b.run(func() bool {
+		select {
+		case c = <-done:
+		default:
+		}
+		return c != nil
+	})
+	b.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// hear reads what the member is sent.
+func (b *bench) hear(c net.Conn, n int) string {
+	b.t.Helper()
+	got := make(chan string, 1)
+	go func() {
+		text := make([]byte, n)
+		_, _ = io.ReadFull(c, text)
+		got <- string(text)
+	}()
+	said := ""
+	b.run(func() bool {
+		select {
+		case said = <-got:
+		default:
+		}
+		return said != ""
+	})
+	return said
+}
+
+func answer(value string) []byte {
+	a := pg.Message(nil, 'T', []byte("\x00\x01"))
+	a = pg.Message(a, 'D', []byte{0, 1, 0, 0, 0, byte(len(value))}, []byte(value))
+	return pg.Ready(pg.Message(a, 'C', []byte("x\x00")))
+}
+
+const far = 1e6 // seconds
+
+func TestStatementIsPassedOnWithTheTimeLeft(t *testing.T) {
+	b := newBench(t)
+	b.send("d=99 rest", 1000)
+	c := b.accept()
+	want := pg.Query(nil, "d=999999 rest")
+	got := b.hear(c, len(want))
+	assert.Regexp(t, `^Q\x00\x00\x00\x12d=99\d{4} rest\x00$`, got)
+	_, _ = c.Write(answer("one"))
+	b.run(b.ended(1))
+	assert.Equal(t, []router.Ending{router.Answered}, b.endings)
+	assert.Equal(t, []string{"one"}, b.values)
+
+	b.send("d=99 again", far)
+	b.hear(c, 5)
+	assert.Equal(t, 1, b.m.Open(), "the connection is used again")
+}
+
+func TestEndedConnectionIsNotUsedAgain(t *testing.T) {
+	b := newBench(t)
+	b.send("d=99", far)
+	c := b.accept()
+	_, _ = c.Write(answer("one"))
+	b.run(b.ended(1))
+	_ = c.Close()
+	b.send("d=99", far) // before the loop has seen the end
+	c = b.accept()
+	_, _ = c.Write(answer("two"))
+	b.run(b.ended(2))
+	assert.Equal(t, []router.Ending{router.Answered, router.Answered}, b.endings)
+	assert.EqualValues(t, 2, b.count.Dialled)
+}
+
+func TestTimeOutBeforeTheLastByteHasNeverRun(t *testing.T) {
+	b := newBench(t)
+	b.send("d=99", 0.2) // nobody greets
+	b.run(b.ended(1))
+	c, err := b.node.Accept()
+	require.NoError(t, err)
+	_ = c.Close()
+	d := b.send("d=99"+string(make([]byte, 32<<20)), far)
+	c = b.accept()
+	b.hear(c, 5)
+	d.conn.due() // its time has run out while the member reads no more
+	assert.Equal(t, []router.Ending{router.Unreached, router.Unreached}, b.endings)
+	assert.Zero(t, b.m.Open())
+}
+
+func TestRecallGoesByTheLastByte(t *testing.T) {
+	b := newBench(t)
+	long := b.send("d=99"+string(make([]byte, 32<<20)), far)
+	c := b.accept()
+	b.hear(c, 5)
+	require.True(t, long.Unsent())
+	b.m.Recall(long)
+	b.m.Recall(long)
+	short := b.send("d=99", far)
+	c = b.accept()
+	b.hear(c, 5)
+	require.False(t, short.Unsent())
+	b.m.Recall(short)
+	assert.Equal(t, []router.Ending{router.Unreached, router.Recalled}, b.endings)
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "the connection was closed at once")
+	assert.Zero(t, b.m.Open())
+}
+
+func TestSilenceAfterTheLastByteIsATimeOut(t *testing.T) {
+	b := newBench(t)
+	b.send("d=99", 0.3)
+	b.accept()
+	b.run(b.ended(1))
+	assert.Equal(t, []router.Ending{router.TimedOut}, b.endings)
+	assert.Zero(t, b.m.Open())
+}
+
+func TestOutcomesByWhatComesBack(t *testing.T) {
+	fail := func(code string, fatal bool) []byte { return pg.Error(nil, fatal, code, "", "") }
+	for what, k := range map[string]struct {
+		said   []byte
+		ending router.Ending
+		open   int
+	}{
+		"full":           {pg.Ready(fail(pg.CodeFull, false)), router.Full, 1},
+		"full and ended": {fail(pg.CodeFull, true), router.Full, 0},
+		"no primary":     {pg.Ready(fail(pg.CodeNotPrimary, false)), router.Missed, 1},
+		"too far behind": {pg.Ready(fail(pg.CodeBehind, false)), router.Missed, 1},
+		"error":          {pg.Ready(fail("XX000", false)), router.Errored, 1},
+		"no row":         {pg.Ready(nil), router.Errored, 1},
+		"nonsense":       {[]byte("HTTP/1.1 400 Bad Request\r\n\r\n"), router.Errored, 0},
+		"too much":       {append(answer("x"), answer("y")...), router.Answered, 0},
+	} {
+		b := newBench(t)
+		b.send("d=99", far)
+		c := b.accept()
+		b.hear(c, 5)
+		_, _ = c.Write(k.said)
+		b.run(b.ended(1))
+		assert.Equal(t, k.ending, b.endings[0], what)
+		assert.Equal(t, k.open, b.m.Open(), what)
+	}
+	b := newBench(t)
+	b.send("d=99", far)
+	c := b.accept()
+	b.hear(c, 5)
+	_, _ = c.Write(answer("cut short")[:20])
+	_ = c.Close()
+	b.run(b.ended(1))
+	assert.Equal(t, router.Broken, b.endings[0], "what was not whole reaches nobody")
+	assert.Empty(t, b.values)
+}
+
+func TestChangedAddressTakesNothingNewOnOldConnections(t *testing.T) {
+	b := newBench(t)
+	b.send("d=99", far)
+	b.send("d=98", far)
+	c, busy := b.accept(), b.accept()
+	_, _ = c.Write(answer("one"))
+	_, _ = busy.Write(answer("one"))
+	b.run(b.ended(2))
+	b.send("d=97", far)
+	b.node = listener(t)
+	b.place(b.node)
+	assert.Equal(t, 1, b.m.Open(), "the idle one is closed, the busy one ends first")
+	_, _ = c.Write(answer("two"))
+	_, _ = busy.Write(answer("two"))
+	b.run(b.ended(3))
+	assert.Zero(t, b.m.Open())
+	b.send("d=96", far)
+	b.accept()
+}
+
+func TestProbeTellsItsReportOrItsFailure(t *testing.T) {
+	b := newBench(t)
+	b.m.Probe(0)
+	c := b.accept()
+	assert.Equal(t, string(pg.Query(nil, "SHOW health")), b.hear(c, len(pg.Query(nil, "SHOW health"))))
+	_, _ = c.Write(answer("x0=5,x1=1"))
+	b.run(func() bool { return len(b.probes) == 1 })
+	assert.Equal(t, []string{"x0=5,x1=1"}, b.reports)
+	b.m.Probe(0)
+	_, _ = c.Write(pg.Ready(pg.Error(nil, false, "57P03", "", "")))
+	b.run(func() bool { return len(b.probes) == 2 })
+	b.m.limits.Probe = 0.01
+	b.m.Probe(0)
+	b.run(func() bool { return len(b.probes) == 3 })
+	assert.Equal(t, []bool{true, false, false}, b.probes)
+	assert.Zero(t, b.m.Open(), "one that was not answered is closed")
+}
+
+func TestIdleConnectionMakesRoomForANewOne(t *testing.T) {
+	b := newBench(t)
+	b.m.limits.Members = 1
+	b.send("d=99", far)
+	c := b.accept()
+	b.m.Probe(0)
+	assert.Equal(t, []bool{false}, b.probes, "the one place is taken")
+	_, _ = c.Write(answer("one"))
+	b.run(b.ended(1))
+	other := listener(t)
+	b.m.Place(1, netip.MustParseAddrPort(other.Addr().String()), false)
+	b.m.Probe(1)
+	assert.Len(t, b.probes, 1)
+	assert.Equal(t, 1, b.m.Open())
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,11 +15,12 @@
 // Told is what the settings tell.
 type Told struct {
 	router.Site
-	Names  []string // of the command groups
-	Zones  []string
-	Fields []string // of a load report
-	ZeroNs float64  // the time from which positions count, on the settings' clock
-	Idle   float64  // a member closes a connection that stood idle for so many seconds
+	Names     []string // of the command groups
+	Zones     []string
+	Fields    []string // of a load report
+	OnAnswers bool     // answers hold reports, not only probes
+	ZeroNs    float64  // the time from which positions count, on the settings' clock
+	Idle      float64  // a member closes a connection that stood idle for so many seconds
 }
 
 // params is the part of the settings that is read.
@@ -148,7 +149,7 @@
 		told[f] = true
 	}
 	s.Reports = p.Load.Source != "none" && told["x0"] && told["x1"]
-	return Told{Site: s, Names: names, Zones: p.Zones, Fields: p.Load.Fields, ZeroNs: p.Family.Zero,
+	return Told{Site: s, Names: names, Zones: p.Zones, Fields: p.Load.Fields, OnAnswers: p.Load.Source == "answers", ZeroNs: p.Family.Zero,
 		Idle: p.Limits.Idle * nano}, err
 }
 
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -38,6 +38,7 @@
 	Unsent    int     // answers that a connection may owe before it is read again
 	Clients   int     // client connections
 	Members   int     // member connections
+	Way       float64 // kept of a client's time for the answer's way: what one tick of the settings is
 	Stall     float64 // that a client may stay in the middle of a message or an answer
 	Dial      float64 // that a connection may take to come up
 	Probe     float64 // that a probe may take
@@ -73,7 +74,7 @@
 		Answer:  largestValue + blockSize, Page: 8 << 20,
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Pipeline: 64, Unsent: 4 * largestValue,
 		Clients: rest - rest/memberShare, Members: rest / memberShare,
-		Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		Way: told.Tick, Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Watch: 5, Late: 2, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
 	}
