Stalled clients hold bounded memory while others are served; a slow log reader holds nothing up

Seen: with the buffers full of 66 half-sent statements nobody was read any more, new clients included, until the stall time of 10 s was over (probe: 100 clients with 250 kB each, 48 MB; the first thought, collections at the memory limit, was ruled out by 0.03 s of CPU). At fault: the front paused every connection while buffers were scarce. Now only those that hold a buffer already wait, and the others are read a buffer at a time. The log is written without waiting: a line that a slow reader leaves no room for is dropped (a writer with a goroutine of its own was tried and given up, it is not needed). Settings out of range are told by their key. Tests for each, and for the core.

--- a/cmd/stoatdale/main.go
+++ b/cmd/stoatdale/main.go
@@ -30,7 +30,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(start.Limits.Memory / 4 * 3) // the rest is for what the run time does not count
-	r, err := service.New(start, zerolog.New(os.Stderr).With().Timestamp().Logger())
+	signal.Ignore(syscall.SIGPIPE)                    // a log that nobody reads any more must not end the router,
+	// nor one that is read slowly hold it up.
+	r, err := service.New(start, zerolog.New(service.Lines(os.Stderr.Fd())).With().Timestamp().Logger())
 	if err != nil {
 		return err
 	}
--- a/cmd/stoatdale/main_test.go
+++ b/cmd/stoatdale/main_test.go
@@ -194,7 +194,7 @@
 func startWith(t *testing.T, sockets int, probes bool, instances ...string) *rig {
 	r := &rig{t: t, log: make(chan string, 10000), discovery: newDiscovery(t, strings.Join(instances, ","))}
 	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": r.discovery.at,
-		"seed": "1f", "limits": map[string]any{"memory_mb": 192, "sockets": sockets}, "settings": settings(probes),
+		"seed": "1f", "limits": map[string]any{"memory_mb": 48, "sockets": sockets}, "settings": settings(probes),
 		"known": json.RawMessage(`{"generation":0,"reset":true,"instances":[` + strings.Join(instances, ",") + "]}")})
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -241,6 +241,14 @@
 	return line.Counters
 }
 
+// counted waits until a counter has come to a value.
+func (r *rig) counted(name string, least float64) {
+	r.t.Helper()
+	for late := time.Now().Add(patience); r.counters()[name].(float64) < least; {
+		require.True(r.t, time.Now().Before(late), "%s stays under %v", name, least)
+	}
+}
+
 // client is one connection to the program.
 type client struct {
 	t *testing.T
@@ -442,8 +450,7 @@
 	c.send(pg.Query(nil, look("gone")))
 	next(t, b.asked)
 	_ = c.Close()
-	for r.counters()["left"] != 1.0 {
-	}
+	r.counted("left", 1)
 	assert.EqualValues(t, 1, r.counters()["recalls"])
 	assert.Equal(t, "value of k", r.client().ask(look("k")))
 }
@@ -462,8 +469,7 @@
 func TestMembersAreProbedForTheirReport(t *testing.T) {
 	b := newMember(t, says("on"))
 	r := startWith(t, 256, true, entry(b, "b", "ready", "on"))
-	for r.counters()["probes"] == 0.0 {
-	}
+	r.counted("probes", 1)
 	assert.Equal(t, "value of k", r.client().ask(look("k")))
 	assert.Zero(t, r.counters()["probes_failed"])
 	assert.Len(t, b.asked, 1, "no statement but the client's and SHOW health")
@@ -538,6 +544,21 @@
 	assert.Greater(t, n["clients_shed"], 50.0)
 }
 
+func TestStalledClientsHoldBoundedMemoryAndOthersAreServed(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := start(t, entry(b, "b", "ready", "on"))
+	part := pg.Query(nil, look(strings.Repeat("z", 250_000)))
+	for range 100 { // more than the buffers hold
+		c := r.client()
+		go func() { _, _ = c.Write(part[:len(part)-1]) }()
+	}
+	r.counted("blocks_in_use", 4096)
+	assert.Equal(t, "value of k", r.client().ask(look("k")))
+	n := r.counters()
+	assert.Less(t, n["blocks_in_use"], 4096+100*16.0, "what is read of one connection in one turn is bounded")
+	assert.EqualValues(t, 1, n["taken"])
+}
+
 func TestFaultyConfigurationEndsWithOneLine(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"x"}`), 0o600))
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,118 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/member"
+	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/roster"
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// said notes the answers that commands got.
+type said []string
+
+func (s *said) Answered(_ *Command, row *buffer.Chain) { *s = append(*s, "answered"); row.Free() }
+func (s *said) Throttled(*Command, float64)            { *s = append(*s, "throttled") }
+func (s *said) Failed(*Command)                        { *s = append(*s, "failed") }
+
+// newCore knows one member of cluster 7, whose address takes connections and says nothing.
+func newCore(t *testing.T) (*Core, *buffer.Pool) {
+	l, err := loop.New()
+	require.NoError(t, err)
+	s := &site.Start{Known: roster.List{Whole: true, Members: []roster.Member{{ID: "a", Cell: 7, State: roster.Ready}}}}
+	group := router.CommandGroup{Need: router.NeedAny, Target: 1, Timeout: 2, Benefit: 1}
+	s.Told.Site = router.Site{Groups: []router.CommandGroup{group}, Routers: 1, Tries: 4, Tick: 0.005, Ask: true, Cancel: true}
+	s.Limits = site.Limits{Members: 8, Dial: 1, Probe: 1, Late: 1, Pause: 1, LongPause: 1, Watch: 1}
+	s.Discovery = s.Known.Members[0].At
+	blocks := buffer.NewPool(64, 1000)
+	o := New(s, l, blocks, &count.Counters{TakenByGroup: make([]uint64, 1)}, zerolog.Nop())
+	o.hear(0)
+	return o, blocks
+}
+
+func command(o *Core, blocks *buffer.Pool, f Front) *Command {
+	set, _ := o.Set(7)
+	c := &Command{Set: set, GiveUp: 1, Text: blocks.New(), Front: f}
+	c.Text.Write([]byte("d=99\x00"))
+	o.Take(c)
+	return c
+}
+
+func TestClustersAreKnownByTheList(t *testing.T) {
+	o, _ := newCore(t)
+	_, ok := o.Set(7)
+	assert.True(t, ok)
+	_, ok = o.Set(8)
+	assert.False(t, ok)
+}
+
+func TestReportsCountFromTheEpoch(t *testing.T) {
+	o, _ := newCore(t)
+	unix := float64(o.loop.StartedAt().UnixMilli()) / 1000
+	position, primary := o.report(fmt.Sprintf("x1=1, x0=%.3f", unix))
+	assert.InDelta(t, epoch, position, 0.01)
+	assert.True(t, primary)
+	assert.InDelta(t, 0, o.clock(o.zeroMs)+position, 0.01, "which is when the router's clock read 0")
+	for _, nonsense := range []string{"", "x0", "x0=soon", "x0=NaN", "x0=-Inf", "util=0.5"} {
+		position, _ = o.report(nonsense)
+		assert.Negative(t, position, nonsense)
+	}
+}
+
+func TestClientThatLeavesInTheSameTurnHasNothingSent(t *testing.T) {
+	o, blocks := newCore(t)
+	var s said
+	c := command(o, blocks, &s)
+	o.Left(c)
+	o.Settle(0.1)
+	assert.Empty(t, s)
+	assert.Zero(t, o.count.Dispatches)
+	assert.Zero(t, o.InHand())
+	assert.Zero(t, blocks.Out())
+}
+
+func TestNothingIsSentForACommandThatIsOver(t *testing.T) {
+	o, blocks := newCore(t)
+	var s said
+	c := command(o, blocks, &s)
+	o.hear(0.1)
+	require.Len(t, o.acts, 1)
+	o.Left(c) // before the dispatch was carried out
+	o.hear(0.1)
+	o.carry()
+	assert.Zero(t, o.count.Dispatches)
+	o.Settle(0.1)
+	assert.EqualValues(t, 1, o.count.Outcomes[router.Moot])
+	assert.Zero(t, o.hand.Len())
+}
+
+func TestAnswerReachesItsClientOnce(t *testing.T) {
+	o, blocks := newCore(t)
+	var s said
+	command(o, blocks, &s)
+	o.hear(0.1)
+	d := o.acts[0].dispatch
+	o.acts = nil
+	answer := func() *pg.Answer {
+		a := &pg.Answer{Row: blocks.New()}
+		a.Row.Write([]byte("row"))
+		return a
+	}
+	o.Ended(d, router.Answered, 0.1, answer())
+	o.Ended(d, router.Answered, 0.1, answer())
+	o.Settle(0.2)
+	assert.Equal(t, said{"answered"}, s)
+	assert.Zero(t, blocks.Out(), "every block is given back")
+	o.Ended(&member.Dispatch{ID: 99}, router.Broken, 0, nil)
+	o.Settle(0.3)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -197,11 +197,18 @@
 }
 
 func (c *conn) read() {
+	most := c.f.limits.Read
+	if c.f.blocks.Scarce() && c.state != parting {
+		if most = c.f.limits.Block; c.in.Len() >= most { // short commands are taken all the same
+			c.pause()
+			return
+		}
+	}
 	if !c.held { // what comes after it was left unread has waited since then
 		c.since = c.f.loop.Since()
 	}
 	c.held = false
-	got, err := loop.Read(c.fd, &c.in, c.f.limits.Read)
+	got, err := loop.Read(c.fd, &c.in, most)
 	c.progress(got > 0)
 	if c.state == parting {
 		c.in.Free()
@@ -236,10 +243,6 @@
 
 // watch sets the descriptor, the timer and the place among the idle by what the connection does.
 func (c *conn) watch() {
-	if !c.paused && c.in.Len() > 0 && c.f.blocks.Scarce() && c.state != parting {
-		c.paused = true
-		c.f.waiting = append(c.f.waiting, c)
-	}
 	reads := !c.paused && !c.last && !c.full() || c.state == parting
 	if !reads && !c.held {
 		c.held, c.since = true, c.f.loop.Now()
@@ -265,6 +268,15 @@
 	}
 }
 
+// pause leaves the client unread until buffers are free.
+func (c *conn) pause() {
+	if !c.paused {
+		c.paused = true
+		c.f.waiting = append(c.f.waiting, c)
+		c.watch()
+	}
+}
+
 // progress starts a stalling client's time anew.
 func (c *conn) progress(made bool) {
 	if made && c.state != parting && c.timer.IsSet() {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -1,8 +1,11 @@
 package loop
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -129,3 +132,20 @@
 	}))
 	assert.GreaterOrEqual(t, l.Longest(), 0.02)
 }
+
+func TestLogLinesAreDroppedRatherThanWaitedFor(t *testing.T) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _ = r.Close() }()
+	line := append(bytes.Repeat([]byte{'x'}, 999), '\n')
+	for range 1000 { // more than a pipe holds
+		n, err := Lines(w.Fd()).Write(line)
+		require.NoError(t, err)
+		require.Equal(t, len(line), n)
+	}
+	_ = w.Close()
+	got, err := io.ReadAll(r)
+	require.NoError(t, err)
+	assert.NotEmpty(t, got)
+	assert.Zero(t, len(got)%len(line), "whole lines only")
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 
 	"stoatdale.example/stoatdale/internal/router"
 )
@@ -162,14 +163,22 @@
 		}
 		seen[name] = true
 	}
-	if t.Dial <= 0 {
-		return errors.New("settings: limits.dialTimeoutNs must be above 0")
-	}
-	if t.Idle <= 0 {
-		return errors.New("settings: limits.connIdleNs must be above 0")
-	}
-	if t.Tries <= 0 {
-		return errors.New("settings: limits.mostTries must be above 0")
+	for _, r := range []struct {
+		key   string
+		value float64
+		above bool // 0 itself is out of range
+		most  float64
+	}{
+		{"limits.dialTimeoutNs", t.Dial, true, math.Inf(1)}, {"limits.connIdleNs", t.Idle, true, math.Inf(1)},
+		{"limits.mostTries", float64(t.Tries), true, math.Inf(1)}, {"me", float64(t.Me), false, math.Inf(1)},
+		{"tickNs", t.Tick, false, 1}, {"limits.maxRetryAfterNs", t.MaxAdvice, false, math.Inf(1)},
+		{"invariants.startCapacity", t.ColdShare, false, 1}, {"invariants.rampTimeNs", t.WarmIn, false, math.Inf(1)},
+		{"invariants.overloadFactor", t.Overload, false, math.Inf(1)}, {"invariants.fallNs", t.FallSpan, false, math.Inf(1)},
+		{"scoreParts.whole", t.Whole, false, 1}, {"scoreParts.worstClass", t.Worst, false, 1},
+	} {
+		if r.value < 0 || r.above && r.value == 0 || r.value > r.most {
+			return fmt.Errorf("settings: %s is out of range", r.key)
+		}
 	}
 	return nil
 }
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -56,8 +56,9 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 64
+	leastMemoryMB   = 32
 	blockSize       = 4 << 10
-	blockShare      = 2 // the memory limit holds this many times the buffers
+	blockShare      = 3 // the memory limit holds this many times the buffers
 	largestValue    = 64 << 10
 	keptSockets     = 24 // for discovery, the listener, the run time
 	memberShare     = 3  // every third of the rest is for members
@@ -155,8 +156,8 @@
 	if f.Limits.Sockets != nil {
 		sockets = *f.Limits.Sockets
 	}
-	if memory <= 0 {
-		return s, fmt.Errorf("limits.memory_mb is %d, and must be above 0", memory)
+	if memory < leastMemoryMB {
+		return s, fmt.Errorf("limits.memory_mb is %d, and must be %d at least", memory, leastMemoryMB)
 	}
 	if sockets < leastSockets {
 		return s, fmt.Errorf("limits.sockets is %d, and must be %d at least", sockets, leastSockets)
--- a/service/service.go
+++ b/service/service.go
@@ -2,6 +2,8 @@
 package service
 
 import (
+	"io"
+
 	"github.com/rs/zerolog"
 
 	"stoatdale.example/stoatdale/internal/buffer"
@@ -21,6 +23,9 @@
 // Counters is what a router has taken in, sent and answered.
 type Counters = count.Counters
 
+// Lines is a log's writer that drops lines rather than wait for a slow reader.
+func Lines(fd uintptr) io.Writer { return loop.Lines(fd) }
+
 // Router is one router on sockets.
 type Router struct {
 	start  Start
