--- a/service/service.go
+++ b/service/service.go
@@ -36,6 +36,7 @@
 	count  Counters
 	log    zerolog.Logger
 	ending bool
+	over   chan struct{} // closed when Run has returned
 }
 
 // New opens a router's listener; Run serves.
@@ -44,7 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{start: s, loop: l, blocks: buffer.NewPool(s.Limits.Block, s.Limits.Blocks), log: log}
+	r := &Router{start: s, loop: l, blocks: buffer.NewPool(s.Limits.Block, s.Limits.Blocks), log: log,
+		over: make(chan struct{})}
 	r.count.GroupNames = r.start.Told.Names
 	r.count.TakenByGroup = make([]uint64, len(r.count.GroupNames))
 	r.core = core.New(&r.start, l, r.blocks, &r.count, log)
@@ -56,8 +58,9 @@
 	return r, nil
 }
 
-// Run serves until the router has drained, or fails.
+// Run serves until the router has drained, or fails. It is called once.
 func (r *Router) Run() error {
+	defer close(r.over)
 	err := r.loop.Run(func(now float64) float64 {
 		r.front.Refresh()
 		next := r.core.Settle(now)
@@ -67,7 +70,7 @@
 		return next
 	})
 	r.core.Close()
-	r.Log()
+	r.logCounters()
 	return err
 }
 
@@ -85,17 +88,23 @@
 }
 
 // LogCounters has the counters logged. It may be called from any goroutine.
-func (r *Router) LogCounters() { r.loop.Post(r.Log) }
+func (r *Router) LogCounters() { r.loop.Post(r.logCounters) }
 
-// Counters returns the counters of a router that is running. It may be called from any goroutine.
+// Counters returns the counters once Run serves, and the last ones after it. It may be called from any
+// goroutine.
 func (r *Router) Counters() Counters {
 	got := make(chan Counters, 1)
 	r.loop.Post(func() { got <- r.snapshot() })
-	return <-got
+	select {
+	case c := <-got:
+		return c
+	case <-r.over:
+		return r.snapshot()
+	}
 }
 
-// Log logs the counters; only for a router that is not running, or from its loop.
-func (r *Router) Log() {
+// logCounters belongs to the loop's goroutine.
+func (r *Router) logCounters() {
 	c := r.snapshot()
 	r.log.Info().Object("counters", &c).Msg("counters")
 }
