Member tests answer only what has come; the library has a test

Eight test runs beside each other on four cores found a race in two member tests: an answer written before the question had come counts as none.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -140,6 +140,14 @@
 	return said
 }
 
+// reply answers a dispatch once it has come.
+func (b *bench) reply(c net.Conn, value string) {
+	b.t.Helper()
+	b.hear(c, 5)
+	_, _ = c.Write(answer(value))
+	b.run(b.ended(len(b.endings) + 1))
+}
+
 func answer(value string) []byte {
 	a := pg.Message(nil, 'T', []byte("\x00\x01"))
 	a = pg.Message(a, 'D', []byte{0, 1, 0, 0, 0, byte(len(value))}, []byte(value))
@@ -169,13 +177,10 @@
 	b := newBench(t)
 	b.send("d=99", far)
 	c := b.accept()
-	_, _ = c.Write(answer("one"))
-	b.run(b.ended(1))
+	b.reply(c, "one")
 	_ = c.Close()
 	b.send("d=99", far) // before the loop has seen the end
-	c = b.accept()
-	_, _ = c.Write(answer("two"))
-	b.run(b.ended(2))
+	b.reply(b.accept(), "two")
 	assert.Equal(t, []router.Ending{router.Answered, router.Answered}, b.endings)
 	assert.EqualValues(t, 2, b.count.Dialled)
 }
@@ -262,21 +267,20 @@
 func TestChangedAddressTakesNothingNewOnOldConnections(t *testing.T) {
 	b := newBench(t)
 	b.send("d=99", far)
+	b.reply(b.accept(), "one")
+	b.node = listener(t)
+	b.place(b.node)
+	assert.Zero(t, b.m.Open(), "the idle one is closed")
 	b.send("d=98", far)
-	c, busy := b.accept(), b.accept()
-	_, _ = c.Write(answer("one"))
-	_, _ = busy.Write(answer("one"))
-	b.run(b.ended(2))
-	b.send("d=97", far)
+	c := b.accept()
 	b.node = listener(t)
 	b.place(b.node)
-	assert.Equal(t, 1, b.m.Open(), "the idle one is closed, the busy one ends first")
-	_, _ = c.Write(answer("two"))
-	_, _ = busy.Write(answer("two"))
-	b.run(b.ended(3))
+	assert.Equal(t, 1, b.m.Open(), "the busy one ends first")
+	b.reply(c, "two")
 	assert.Zero(t, b.m.Open())
-	b.send("d=96", far)
-	b.accept()
+	b.send("d=97", far)
+	b.reply(b.accept(), "three")
+	assert.Equal(t, []string{"one", "two", "three"}, b.values)
 }
 
 func TestProbeTellsItsReportOrItsFailure(t *testing.T) {
@@ -288,6 +292,7 @@
 	b.run(func() bool { return len(b.probes) == 1 })
 	assert.Equal(t, []string{"x0=5,x1=1"}, b.reports)
 	b.m.Probe(0)
+	b.hear(c, 5)
 	_, _ = c.Write(pg.Ready(pg.Error(nil, false, "57P03", "", "")))
 	b.run(func() bool { return len(b.probes) == 2 })
 	b.m.limits.Probe = 0.01
@@ -304,8 +309,7 @@
 	c := b.accept()
 	b.m.Probe(0)
 	assert.Equal(t, []bool{false}, b.probes, "the one place is taken")
-	_, _ = c.Write(answer("one"))
-	b.run(b.ended(1))
+	b.reply(c, "one")
 	other := listener(t)
 	b.m.Place(1, netip.MustParseAddrPort(other.Addr().String()), false)
 	b.m.Probe(1)
--- /dev/null
+++ b/service/service_test.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// start is what a router of one command group is started with, with nobody to ask for a list.
+func start() Start {
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	s := Start{Name: "n1", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: nobody}
+	s.Told.Site = router.Site{Groups: []router.CommandGroup{{Need: router.NeedAny, Target: 1, Timeout: 2}}, Tick: 0.005}
+	s.Told.Names = []string{"look"}
+	s.Limits = site.Limits{Block: 64, Blocks: 10, Backlog: 5, Accepts: 5, Clients: 5, Members: 5, Late: 1, Pause: 0.01, LongPause: 1}
+	return s
+}
+
+func TestEmbeddedRouterCountsAndDrains(t *testing.T) {
+	r, err := New(start(), zerolog.Nop())
+	require.NoError(t, err)
+	ended := make(chan error)
+	go func() { ended <- r.Run() }()
+	for r.Counters().ListsFailed == 0 {
+	}
+	assert.Equal(t, []string{"look"}, r.Counters().GroupNames)
+	r.Drain()
+	r.Drain()
+	require.NoError(t, <-ended)
+	assert.NotZero(t, r.Counters().ListsFailed, "also after its end")
+}
+
+func TestTakenAddressIsToldAtTheStart(t *testing.T) {
+	first, err := New(start(), zerolog.Nop())
+	require.NoError(t, err)
+	s := start()
+	s.Listen = first.front.At
+	_, err = New(s, zerolog.Nop())
+	assert.ErrorContains(t, err, "listening on "+first.front.At.String())
+}
