--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,11 +102,6 @@
 	acts   []act
 }
 
-// epoch is how long before the router's start positions count from, in seconds. The module takes a
-// negative position as not told, and rounds reports by a share of theirs: far enough back for any replica
-// worth reading, and near enough that the rounding stays under a millisecond.
-const epoch = 3600
-
 // New returns a router that knows the list it had last.
 func New(s *site.Start, l *loop.Loop, blocks *buffer.Pool, c *count.Counters, log zerolog.Logger) *Core {
 	o := &Core{loop: l, told: &s.Told, count: c, log: log, nodes: map[string]int{}, sets: map[int]int{},
@@ -114,7 +109,10 @@
 	for i, z := range s.Told.Zones {
 		o.zones[z] = i
 	}
-	o.zeroMs = float64(l.StartedAt().UnixMilli()) - epoch*1000
+	// Positions count from a while before the start. The module takes a negative one as not told, and rounds
+	// reports by a share of theirs: this is far enough back for any replica worth reading, and near enough that
+	// the rounding stays under a millisecond.
+	o.zeroMs = float64(l.StartedAt().UnixMilli()) - s.Limits.Epoch*1000
 	told := s.Told.Site
 	told.ZeroAt = o.clock(o.zeroMs)
 	o.router = router.New(told, s.Seed)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -27,12 +27,12 @@
 
 // newCore knows one member of cluster 7, whose address takes connections and says nothing.
 func newCore(t *testing.T) (*Core, *buffer.Pool) {
-	l, err := loop.New()
+	l, err := loop.New(16)
 	require.NoError(t, err)
 	s := &site.Start{Known: roster.List{Whole: true, Members: []roster.Member{{ID: "a", Cell: 7, State: roster.Ready}}}}
 	group := router.CommandGroup{Need: router.NeedAny, Target: 1, Timeout: 2, Benefit: 1}
 	s.Told.Site = router.Site{Groups: []router.CommandGroup{group}, Routers: 1, Tries: 4, Tick: 0.005, Ask: true, Cancel: true}
-	s.Limits = site.Limits{Members: 8, Dial: 1, Probe: 1, Late: 1, Pause: 1, LongPause: 1, Watch: 1}
+	s.Limits = site.Limits{Epoch: 3600, Members: 8, Dial: 1, Probe: 1, Late: 1, Pause: 1, LongPause: 1, Watch: 1}
 	s.Discovery = s.Known.Members[0].At
 	blocks := buffer.NewPool(64, 1000)
 	o := New(s, l, blocks, &count.Counters{TakenByGroup: make([]uint64, 1)}, zerolog.Nop())
@@ -60,7 +60,7 @@
 	o, _ := newCore(t)
 	unix := float64(o.loop.StartedAt().UnixMilli()) / 1000
 	position, primary := o.report(fmt.Sprintf("x1=1, x0=%.3f", unix))
-	assert.InDelta(t, epoch, position, 0.01)
+	assert.InDelta(t, 3600, position, 0.01)
 	assert.True(t, primary)
 	assert.InDelta(t, 0, o.clock(o.zeroMs)+position, 0.01, "which is when the router's clock read 0")
 	for _, nonsense := range []string{"", "x0", "x0=soon", "x0=NaN", "x0=-Inf", "util=0.5"} {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -150,7 +150,7 @@
 
 func (w *Watch) read() {
 	_, err := loop.Read(w.fd, &w.in, w.limits.Read)
-	whole, bad := w.reply.Take(&w.in, w.limits.Page)
+	whole, bad := w.reply.Take(&w.in, w.limits.Page, w.limits.Line)
 	whole = whole || err != nil && bad == nil && w.reply.End()
 	switch {
 	case bad != nil:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -70,9 +70,9 @@
 			_ = c.Close()
 		}
 	}()
-	w.l, err = loop.New()
+	w.l, err = loop.New(16)
 	require.NoError(t, err)
-	limits := &site.Limits{Read: 1 << 16, Page: 1 << 16, Watch: 60, Late: 0.2, Pause: 0.01, LongPause: 0.02}
+	limits := &site.Limits{Read: 1 << 16, Page: 1 << 16, Line: 1 << 10, Watch: 60, Late: 0.2, Pause: 0.01, LongPause: 0.02}
 	w.w = New(w.l, limits, netip.MustParseAddrPort(n.Addr().String()), onAsk, buffer.NewPool(16, 1000), w, zerolog.Nop())
 	return w
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -338,7 +338,7 @@
 }
 
 func (c *conn) start() bool {
-	kind, ok, err := pg.ReadStart(&c.in)
+	kind, ok, err := pg.ReadStart(&c.in, c.f.limits.Packet)
 	switch {
 	case err != nil:
 		c.fatal(pg.CodeProtocol, err.Error())
@@ -361,7 +361,7 @@
 // query takes a simple query: a command for the core, or something that the front answers itself.
 func (c *conn) query(size int) {
 	const head = 5
-	st, err := pg.Parse(&c.in, head, size-head)
+	st, err := pg.Parse(&c.in, head, size-head, c.f.limits.Comment)
 	if err != nil {
 		c.bad(pg.CodeSyntax, err.Error())
 		return
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -22,6 +22,7 @@
 	Body   []byte
 	Close  bool // the connection ends with this reply
 
+	most    int // bytes of a line
 	step    step
 	line    []byte
 	left    int // bytes of the body or chunk still to come
@@ -42,14 +43,13 @@
 	done
 )
 
-// mostLine is the length of a line, a number of header lines is capped by mostHead as a whole.
-const mostLine = 8 << 10
-
 // ErrReply says that what came is no reply.
 var ErrReply = errors.New("malformed reply")
 
-// Take takes bytes off a chain, and says whether the reply is whole. The body has most bytes at the most.
-func (r *Reply) Take(in *buffer.Chain, most int) (bool, error) {
+// Take takes bytes off a chain, and says whether the reply is whole. The body has most bytes at the most, and
+// each line so many.
+func (r *Reply) Take(in *buffer.Chain, most, line int) (bool, error) {
+	r.most = line
 	for in.Len() > 0 && r.step != done {
 		piece := in.First()
 		n, err := r.piece(piece, most)
@@ -92,8 +92,8 @@
 	}
 	for i, c := range b {
 		if c != '\n' {
-			if len(r.line) >= mostLine {
-				return 0, fmt.Errorf("%w: line over %d bytes", ErrReply, mostLine)
+			if len(r.line) >= r.most {
+				return 0, fmt.Errorf("%w: line over %d bytes", ErrReply, r.most)
 			}
 			r.line = append(r.line, c)
 			continue
@@ -171,7 +171,7 @@
 func (r *Reply) start(most int) error {
 	switch {
 	case r.Status < 200: // a note ahead of the reply
-		*r = Reply{}
+		*r = Reply{most: r.most}
 	case r.chunked:
 		r.left, r.step = 0, chunkSize
 	case r.Status == 204 || r.Status == 304 || r.sized && r.left == 0:
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -25,11 +25,11 @@
 	for _, text := range []string{sized, chunked, "HTTP/1.1 100 Continue\r\n\r\n" + sized} {
 		for n := range text {
 			in, r := chain(text[:n]), Reply{}
-			done, err := r.Take(in, 100)
+			done, err := r.Take(in, 100, 200)
 			require.NoError(t, err)
 			require.False(t, done, "%q", text[:n])
 			in.Write([]byte(text[n:] + "HTTP"))
-			done, err = r.Take(in, 100)
+			done, err = r.Take(in, 100, 200)
 			require.NoError(t, err)
 			require.True(t, done)
 			require.Equal(t, 200, r.Status)
@@ -42,14 +42,14 @@
 
 func TestEndOfTheConnectionEndsABodyWithoutLength(t *testing.T) {
 	r := Reply{}
-	done, err := r.Take(chain("HTTP/1.0 200 OK\r\n\r\nhello"), 100)
+	done, err := r.Take(chain("HTTP/1.0 200 OK\r\n\r\nhello"), 100, 200)
 	require.NoError(t, err)
 	assert.False(t, done)
 	assert.True(t, r.End())
 	assert.True(t, r.Close)
 	assert.Equal(t, "hello", string(r.Body))
 	r = Reply{}
-	_, err = r.Take(chain(sized[:len(sized)-1]), 100)
+	_, err = r.Take(chain(sized[:len(sized)-1]), 100, 200)
 	require.NoError(t, err)
 	assert.False(t, r.End(), "a body cut short is not whole")
 }
@@ -60,9 +60,9 @@
 		head + "Content-Length: -1\r\n", head + "Content-Length: 101\r\n\r\n",
 		head + "Content-Length: 1\r\nContent-Length: 2\r\n", head + "Transfer-Encoding: gzip\r\n",
 		head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", head + "Transfer-Encoding: chunked\r\n\r\n65\r\n",
-		head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", head + strings.Repeat("x", mostLine+1),
+		head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", head + strings.Repeat("x", 201),
 		"HTTP/1.0 200 OK\r\n\r\n" + strings.Repeat("x", 101)} {
-		_, err := new(Reply).Take(chain(text), 100)
+		_, err := new(Reply).Take(chain(text), 100, 200)
 		assert.ErrorIs(t, err, ErrReply, text)
 	}
 }
@@ -77,13 +77,13 @@
 	f.Add("HTTP/1.1 204 No\r\n\r\n", 3)
 	f.Fuzz(func(t *testing.T, text string, cut int) {
 		var one, two Reply
-		done, err := one.Take(chain(text), 1000)
+		done, err := one.Take(chain(text), 1000, 200)
 		cut = min(max(0, cut), len(text))
 		in := chain(text[:cut])
-		done2, err2 := two.Take(in, 1000)
+		done2, err2 := two.Take(in, 1000, 200)
 		if !done2 && err2 == nil {
 			in.Write([]byte(text[cut:]))
-			done2, err2 = two.Take(in, 1000)
+			done2, err2 = two.Take(in, 1000, 200)
 		}
 		require.Equal(t, done, done2)
 		require.Equal(t, err == nil, err2 == nil)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -26,6 +26,7 @@
 
 // Loop belongs to the goroutine that calls Run; only Post may be called from others.
 type Loop struct {
+	events   int
 	start    time.Time
 	now      float64
 	polled   float64 // when the wait before this one ended
@@ -41,10 +42,10 @@
 	posted []func()
 }
 
-// New returns a loop whose clock reads 0 at its start: wall time is read once, and the clock then
-// goes on by monotonic time.
-func New() (*Loop, error) {
-	l := &Loop{start: time.Now(), files: map[int]*watched{}}
+// New returns a loop that gathers so many events in one turn at the most, so that no turn grows long. Its clock
+// reads 0 at its start: wall time is read once, and the clock then goes on by monotonic time.
+func New(events int) (*Loop, error) {
+	l := &Loop{events: events, start: time.Now(), files: map[int]*watched{}}
 	var err error
 	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -138,13 +139,10 @@
 // Stop ends Run after this turn.
 func (l *Loop) Stop() { l.stopped = true }
 
-// mostEvents is what one turn gathers at most, so that no turn grows long.
-const mostEvents = 256
-
 // Run turns until Stop, and may be called again: descriptors, timers, then settle, which says when it wants to be called at the
 // latest.
 func (l *Loop) Run(settle func(now float64) float64) error {
-	ready := make([]unix.EpollEvent, mostEvents)
+	ready := make([]unix.EpollEvent, l.events)
 	next := 0.0
 	l.tick()
 	l.polled, l.stopped = l.now, false
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -16,7 +16,7 @@
 )
 
 func newLoop(t *testing.T) *Loop {
-	l, err := New()
+	l, err := New(16)
 	require.NoError(t, err)
 	return l
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -258,7 +258,7 @@
 
 func (c *conn) read() {
 	_, err := loop.Read(c.fd, &c.in, c.m.limits.Read)
-	done, bad := c.answer.Take(&c.in, c.m.limits.Answer)
+	done, bad := c.answer.Take(&c.in, c.m.limits.Answer, c.m.limits.Note)
 	switch {
 	case bad != nil && c.state == waiting:
 		c.end(router.Errored)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -61,9 +61,9 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, blocks: buffer.NewPool(4096, 1<<20), node: listener(t)}
 	var err error
-	b.l, err = loop.New()
+	b.l, err = loop.New(16)
 	require.NoError(t, err)
-	limits := &site.Limits{Read: 1 << 16, Answer: 1 << 17, Members: 4, Dial: 30, Probe: 30, Idle: 60}
+	limits := &site.Limits{Read: 1 << 16, Answer: 1 << 17, Note: 1 << 10, Members: 4, Dial: 30, Probe: 30, Idle: 60}
 	b.m = New(b.l, limits, b.blocks, b, &b.count)
 	b.place(b.node)
 	return b
--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -24,9 +24,6 @@
 	whole bool
 }
 
-// most of a message that is looked into; rows are passed on unseen.
-const mostNote = 8 << 10
-
 // ErrShape says that an answer is not one row in order, or an error.
 var ErrShape = errors.New("malformed answer")
 
@@ -35,14 +32,15 @@
 	return a.whole && a.Code == "" && a.described == 1 && a.rows == 1 && a.completed == 1
 }
 
-// Take takes whole messages off a chain. done says that the answer is at its end.
-func (a *Answer) Take(in *buffer.Chain, most int) (done bool, err error) {
+// Take takes whole messages of most bytes at the most off a chain. Those that are looked into are notes, and
+// shorter; rows are passed on unseen. done says that the answer is at its end.
+func (a *Answer) Take(in *buffer.Chain, most, note int) (done bool, err error) {
 	for {
 		kind, size, ok, err := Next(in, most)
 		if err != nil || !ok {
 			return false, err
 		}
-		done, err := a.message(in, kind, size)
+		done, err := a.message(in, kind, size, note)
 		if err != nil {
 			return false, err
 		}
@@ -54,17 +52,17 @@
 	}
 }
 
-func (a *Answer) message(in *buffer.Chain, kind byte, size int) (done bool, err error) {
+func (a *Answer) message(in *buffer.Chain, kind byte, size, most int) (done bool, err error) {
 	switch kind {
 	case 'T', 'D', 'C':
-		return false, a.part(in, kind, size)
+		return false, a.part(in, kind, size, most)
 	case 'N', 'A', 'K':
 		return false, nil
 	case 'R', 'S', 'E', 'Z', 'I':
 	default:
 		return false, fmt.Errorf("%w: a message %q", ErrShape, kind)
 	}
-	if size > mostNote {
+	if size > most {
 		return false, fmt.Errorf("%w: %d bytes in a message %q", ErrShape, size, kind)
 	}
 	note := make([]byte, size)
@@ -90,7 +88,7 @@
 }
 
 // part keeps a part of the row; they come in one order, and the row has one column.
-func (a *Answer) part(in *buffer.Chain, kind byte, size int) error {
+func (a *Answer) part(in *buffer.Chain, kind byte, size, most int) error {
 	ok := false
 	switch kind {
 	case 'T':
@@ -103,7 +101,7 @@
 		a.value = int(int32(binary.BigEndian.Uint32(head[headLen+2:])))
 		ok = a.described == 1 && a.rows == 1 && a.completed == 0 && got == len(head) && size >= len(head) &&
 			binary.BigEndian.Uint16(head[headLen:]) == 1 && (a.value == size-len(head) || a.value == -1)
-		if ok && a.value >= 0 && a.value <= mostNote {
+		if ok && a.value >= 0 && a.value <= most {
 			b := make([]byte, size)
 			in.Peek(b)
 			a.Report = string(b[len(head):])
--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -12,11 +12,10 @@
 
 // Codes that a start-up packet opens with.
 const (
-	major          = 3
-	codeSSL        = 80877103
-	codeGSS        = 80877104
-	codeCancel     = 80877102
-	startupMessage = 10000 // bytes that a start-up packet may have
+	major      = 3
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+	codeCancel = 80877102
 )
 
 // Codes of errors.
@@ -44,15 +43,15 @@
 	Cancel        // to be closed
 )
 
-// ReadStart takes a start-up packet off a chain. ok is false while it is not whole.
-func ReadStart(in *buffer.Chain) (kind Start, ok bool, err error) {
+// ReadStart takes a start-up packet of most bytes at the most off a chain. ok is false while it is not whole.
+func ReadStart(in *buffer.Chain, most int) (kind Start, ok bool, err error) {
 	var head [8]byte
 	got := in.Peek(head[:])
 	if got < 4 {
 		return 0, false, nil
 	}
 	n := int(int32(binary.BigEndian.Uint32(head[:])))
-	if n < len(head) || n > startupMessage {
+	if n < len(head) || n > most {
 		return 0, false, fmt.Errorf("start-up packet of %d bytes", n)
 	}
 	if got < len(head) || in.Len() < n {
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -29,12 +29,12 @@
 		Startup: Hello(nil), Encrypt: packet("\x04\xd2\x16\x2f"), Cancel: packet("\x04\xd2\x16\x2e"),
 	} {
 		for n := range b {
-			_, ok, err := ReadStart(chain(b[:n]))
+			_, ok, err := ReadStart(chain(b[:n]), 10000)
 			require.NoError(t, err)
 			require.False(t, ok, "%d bytes", n)
 		}
 		c := chain(append(b, "rest"...))
-		got, ok, err := ReadStart(c)
+		got, ok, err := ReadStart(c, 10000)
 		require.NoError(t, err)
 		require.True(t, ok)
 		assert.Equal(t, kind, got)
@@ -44,7 +44,7 @@
 
 func TestBadStartPackets(t *testing.T) {
 	for _, b := range []string{"\xff\xff\xff\xff", "\x00\x00\x00\x07", "\x7f\x00\x00\x00", "\x00\x00\x00\x08\x00\x02\x00\x00"} {
-		_, _, err := ReadStart(chain([]byte(b)))
+		_, _, err := ReadStart(chain([]byte(b)), 10000)
 		assert.Error(t, err, "%q", b)
 	}
 }
@@ -67,12 +67,12 @@
 	b = Ready(Status(Status(b, "recovery", "on"), "health", "x0=1"))
 	for n := range b {
 		in, a := chain(b[:n]), Answer{Row: *chain(nil)}
-		done, err := a.Take(in, 1024)
+		done, err := a.Take(in, 1024, 1024)
 		require.NoError(t, err)
 		require.False(t, done, "an answer is not taken before it is whole")
 		require.False(t, a.Served())
 		in.Write(b[n:])
-		done, err = a.Take(in, 1024)
+		done, err = a.Take(in, 1024, 1024)
 		require.NoError(t, err)
 		require.True(t, done)
 		require.True(t, a.Served())
@@ -89,7 +89,7 @@
 func TestErrorsAreAnswersOfTheirCode(t *testing.T) {
 	b := Ready(Status(Error(nil, false, CodeNotPrimary, "read only", ""), "recovery", "on"))
 	a := Answer{Row: *chain(nil)}
-	done, err := a.Take(chain(b), 1024)
+	done, err := a.Take(chain(b), 1024, 1024)
 	require.NoError(t, err)
 	assert.True(t, done)
 	assert.False(t, a.Served())
@@ -97,7 +97,7 @@
 	assert.Equal(t, "on", a.Role, "what follows the error is heard")
 
 	a = Answer{Row: *chain(nil)}
-	done, err = a.Take(chain(Error(nil, true, CodeFull, "too many", "")), 1024)
+	done, err = a.Take(chain(Error(nil, true, CodeFull, "too many", "")), 1024, 1024)
 	require.NoError(t, err)
 	assert.True(t, done, "nothing follows a fatal error")
 	assert.True(t, a.Fatal)
@@ -116,14 +116,14 @@
 		"row after error":   append(Error(nil, false, "XX000", "", ""), one...),
 		"password":          Message(nil, 'R', []byte{0, 0, 0, 3}),
 		"too long":          append([]byte{'D'}, 0, 1, 0, 0),
-		"very long setting": Status(nil, "x", strings.Repeat("y", mostNote)),
+		"very long setting": Status(nil, "x", strings.Repeat("y", 1024)),
 	} {
 		a := Answer{Row: *chain(nil)}
-		_, err := a.Take(chain(b), 60000)
+		_, err := a.Take(chain(b), 60000, 1024)
 		assert.Error(t, err, what)
 	}
 	a := Answer{Row: *chain(nil)}
-	done, err := a.Take(chain(Ready(nil)), 1024)
+	done, err := a.Take(chain(Ready(nil)), 1024, 1024)
 	require.NoError(t, err)
 	assert.True(t, done)
 	assert.False(t, a.Served(), "ready without a row is no answer")
@@ -134,7 +134,7 @@
 
 func parse(text string) (Statement, error) {
 	c := chain([]byte("?????" + text + "\x00"))
-	return Parse(c, 5, len(text)+1)
+	return Parse(c, 5, len(text)+1, 1024)
 }
 
 func TestStatementIsRead(t *testing.T) {
@@ -202,7 +202,7 @@
 		_, err := parse(text)
 		assert.ErrorContains(t, err, says, text)
 	}
-	_, err := Parse(chain([]byte("SELECT 1")), 0, 8)
+	_, err := Parse(chain([]byte("SELECT 1")), 0, 8, 1024)
 	assert.ErrorContains(t, err, "zero byte")
 }
 
@@ -213,7 +213,7 @@
 		s, err := parse(text)
 		whole := buffer.NewPool(1<<16, 1).New()
 		whole.Write([]byte(text + "\x00"))
-		again, err2 := Parse(&whole, 0, len(text)+1)
+		again, err2 := Parse(&whole, 0, len(text)+1, 1024)
 		require.Equal(t, err, err2, "the same however the text lies")
 		require.Equal(t, s, again)
 		if err == nil && !s.Empty {
@@ -229,17 +229,17 @@
 	f.Add([]byte("D\x00\x00\x00\x04T\x00\x00\x00\x04"), 2)
 	f.Fuzz(func(t *testing.T, b []byte, cut int) {
 		a := Answer{Row: *chain(nil)}
-		done, err := a.Take(chain(b), 1024)
+		done, err := a.Take(chain(b), 1024, 1024)
 		cut = min(max(0, cut), len(b))
 		in, c := chain(b[:cut]), Answer{Row: *chain(nil)}
-		done2, err2 := c.Take(in, 1024)
+		done2, err2 := c.Take(in, 1024, 1024)
 		if !done2 && err2 == nil {
 			in.Write(b[cut:])
-			done2, err2 = c.Take(in, 1024)
+			done2, err2 = c.Take(in, 1024, 1024)
 		}
 		require.Equal(t, done, done2)
 		require.Equal(t, err == nil, err2 == nil)
 		require.Equal(t, a.Served(), c.Served())
-		_, _, _ = ReadStart(chain(b))
+		_, _, _ = ReadStart(chain(b), 10000)
 	})
 }
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -24,9 +24,6 @@
 	hasWait    bool
 }
 
-// mostComment is the length that a statement's comment may have.
-const mostComment = 1 << 10
-
 // Places of the scanner in a statement.
 const (
 	plain = iota
@@ -39,6 +36,7 @@
 
 // scanner goes over a statement byte by byte, so that it may lie in pieces.
 type scanner struct {
+	most             int // bytes of a comment
 	at, place, depth int
 	prev             byte
 	any, ended, over bool   // something but space; a semicolon; something behind that
@@ -91,7 +89,7 @@
 			s.prev = 0
 			if s.depth--; s.depth == 0 {
 				s.place = plain
-				if len(s.comment) <= mostComment {
+				if len(s.comment) <= s.most {
 					s.comment = s.comment[:max(0, len(s.comment)-1)] // its end's star
 				}
 				return
@@ -100,7 +98,7 @@
 			s.prev = 0
 			s.depth++
 		}
-		if len(s.comment) <= mostComment {
+		if len(s.comment) <= s.most {
 			s.comment = append(s.comment, c)
 		}
 	}
@@ -139,9 +137,10 @@
 	}
 }
 
-// Parse reads a query's text, which is n bytes of a chain from an offset on, final zero included.
-func Parse(in *buffer.Chain, from, n int) (Statement, error) {
-	var s scanner
+// Parse reads a query's text, which is n bytes of a chain from an offset on, final zero included. Its comment
+// may have most bytes.
+func Parse(in *buffer.Chain, from, n, most int) (Statement, error) {
+	s := scanner{most: most}
 	last := byte(1)
 	if n > 0 {
 		in.Each(from+n-1, 1, func(b []byte) { last = b[0] })
@@ -159,8 +158,8 @@
 		return Statement{}, errors.New("two statements in one query")
 	case s.commentAt == 0:
 		return Statement{}, errors.New("the comment with id, c, d and cluster is missing")
-	case len(s.comment) > mostComment:
-		return Statement{}, fmt.Errorf("the comment is longer than %d bytes", mostComment)
+	case len(s.comment) > most:
+		return Statement{}, fmt.Errorf("the comment is longer than %d bytes", most)
 	}
 	st := Statement{}
 	if s.literals > 0 {
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -31,6 +31,11 @@
 	Message   int     // longest message of a client
 	Answer    int     // longest message of a member
 	Page      int     // longest reply of discovery
+	Packet    int     // longest start-up packet
+	Comment   int     // longest comment of a statement
+	Note      int     // longest message of a member that is looked into
+	Line      int     // longest line of discovery's
+	Events    int     // gathered in one turn
 	Read      int     // of one connection in one turn
 	Accepts   int     // in one turn
 	Backlog   int     // of connections not yet accepted
@@ -38,6 +43,7 @@
 	Unsent    int     // answers that a connection may owe before it is read again
 	Clients   int     // client connections
 	Members   int     // member connections
+	Epoch     float64 // before the start from which positions count; the reason stands in core
 	Way       float64 // kept of a client's time for the answer's way: what one tick of the settings is
 	Stall     float64 // that a client may stay in the middle of a message or an answer
 	Dial      float64 // that a connection may take to come up
@@ -73,9 +79,10 @@
 		Block: blockSize, Blocks: int(memory / blockShare / blockSize),
 		Message: 4*largestValue + blockSize, // a value may be written with four characters a byte
 		Answer:  largestValue + blockSize, Page: 8 << 20,
+		Packet: 10000, Comment: 1 << 10, Note: 8 << 10, Line: 8 << 10, Events: 256,
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Pipeline: 64, Unsent: 4 * largestValue,
 		Clients: rest - rest/memberShare, Members: rest / memberShare,
-		Way: told.Tick, Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		Epoch: 3600, Way: told.Tick, Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Watch: 5, Late: 2, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
 	}
--- a/service/service.go
+++ b/service/service.go
@@ -41,7 +41,7 @@
 
 // New opens a router's listener; Run serves.
 func New(s Start, log zerolog.Logger) (*Router, error) {
-	l, err := loop.New()
+	l, err := loop.New(s.Limits.Events)
 	if err != nil {
 		return nil, err
 	}
