--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,7 +86,6 @@
 
 	zeroMs float64 // Unix milliseconds from which positions count
 	nodes  map[string]int
-	names  []string
 	sets   map[int]int
 	zones  map[string]int
 
@@ -241,9 +240,6 @@
 	facts := make([]router.Listing, 0, len(l.list.Members))
 	for _, m := range l.list.Members {
 		node := index(o.nodes, m.ID)
-		if node == len(o.names) {
-			o.names = append(o.names, m.ID)
-		}
 		o.members.Place(node, m.At, m.State == roster.Gone)
 		started := math.Inf(-1)
 		if m.StartedMs > 0 {
--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -5,7 +5,7 @@
 
 // Counters is what a router has taken in, sent and answered since its start.
 type Counters struct {
-	Accepted, ClientsOpen, Shed, Refused uint64 // client connections; shed: ended for want of descriptors
+	Accepted, ClientsOpen, Shed          uint64 // client connections; shed: ended for want of descriptors
 	BadInput                             uint64 // messages that were no command, and answered so
 	Taken                                uint64
 	TakenByGroup                         []uint64
@@ -35,7 +35,7 @@
 		ends.Uint64(outcomes[i], n)
 	}
 	e.Uint64("clients_accepted", c.Accepted).Uint64("clients_open", c.ClientsOpen).
-		Uint64("clients_shed", c.Shed).Uint64("clients_refused", c.Refused).Uint64("bad_input", c.BadInput).
+		Uint64("clients_shed", c.Shed).Uint64("bad_input", c.BadInput).
 		Uint64("taken", c.Taken).Dict("taken_by_group", groups).
 		Uint64("answered", c.Answered).Uint64("throttled", c.Throttled).Uint64("failed", c.Failed).
 		Uint64("left", c.Left).Uint64("in_hand", c.InHand).
