--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -5,21 +5,21 @@
 
 // Counters is what a router has taken in, sent and answered since its start.
 type Counters struct {
-	Accepted, ClientsOpen, Shed          uint64 // client connections; shed: ended for want of descriptors
-	BadInput                             uint64 // messages that were no command, and answered so
-	Taken                                uint64
-	TakenByGroup                         []uint64
-	GroupNames                           []string
-	Answered, Throttled, Failed, Left    uint64
-	InHand                               uint64
-	Dispatches, Recalls                  uint64
-	Outcomes                             [9]uint64 // by router.Ending
-	Dialled, DialsFailed, MembersOpen    uint64
-	IdleClosed                           uint64
-	Probes, ProbesFailed                 uint64
-	Lists, ListsFailed                   uint64
-	BlocksInUse                          uint64
-	LongestTurn                          float64 // seconds
+	Accepted, ClientsOpen, Shed       uint64 // client connections; shed: ended for want of descriptors
+	BadInput                          uint64 // messages that were no command, and answered so
+	Taken                             uint64
+	TakenByGroup                      []uint64
+	GroupNames                        []string
+	Answered, Throttled, Failed, Left uint64
+	InHand                            uint64
+	Dispatches, Recalls               uint64
+	Outcomes                          [9]uint64 // by router.Ending
+	Dialled, DialsFailed, MembersOpen uint64
+	IdleClosed                        uint64
+	Probes, ProbesFailed              uint64
+	Lists, ListsFailed                uint64
+	BlocksInUse                       uint64
+	LongestTurn                       float64 // seconds
 }
 
 var outcomes = [...]string{"answered", "errored", "full", "timed_out", "unreached", "broken", "recalled",
