Members may use descriptors that are free; the least memory limit is 16 MB

Seen on rereading: with few descriptors a third for members would turn dispatches away as never reached, and blame members for it, while clients left theirs unused; and a limit under 32 MB kept the router from starting.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -158,6 +158,9 @@
 // Members is the number of connections to members.
 func (o *Core) Members() int { return o.members.Open() }
 
+// MakeRoom closes an idle connection to a member, if members hold more than their own descriptors.
+func (o *Core) MakeRoom(members int) bool { return o.members.Open() > members && o.members.Shed() }
+
 // Close ends the watch and all idle connections to members.
 func (o *Core) Close() {
 	o.watch.Close()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -76,7 +76,9 @@
 // idle the listener rests, since it would stay ready and spin the loop.
 func (f *Front) accept(most int) {
 	for range most {
-		if len(f.conns) >= f.limits.Clients && !f.shed() {
+		full := len(f.conns) >= f.limits.Clients ||
+			f.loop.Open() >= f.limits.Shared && !f.core.MakeRoom(f.limits.Members)
+		if full && !f.shed() {
 			f.rest()
 			return
 		}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -156,7 +156,7 @@
 
 func (m *Members) dial(node int) *conn {
 	at := m.hosts[node].at
-	if !at.IsValid() || m.open >= m.limits.Members && !m.shed() {
+	if !at.IsValid() || m.open >= m.limits.Members && m.loop.Open() >= m.limits.Shared && !m.Shed() {
 		return nil
 	}
 	m.count.Dialled++
@@ -175,8 +175,8 @@
 	return c
 }
 
-// shed closes the longest idle connection to make room for a new one.
-func (m *Members) shed() bool {
+// Shed closes the longest idle connection to make room for a new one, and says whether there was one.
+func (m *Members) Shed() bool {
 	var oldest *conn
 	for i := range m.hosts {
 		if s := m.hosts[i].idle; len(s) > 0 && (oldest == nil || s[0].since < oldest.since) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -305,6 +305,7 @@
 func TestIdleConnectionMakesRoomForANewOne(t *testing.T) {
 	b := newBench(t)
 	b.m.limits.Members = 1
+	b.m.limits.Shared = 2 // the loop's own and one
 	b.send("d=99", far)
 	c := b.accept()
 	b.m.Probe(0)
@@ -315,4 +316,7 @@
 	b.m.Probe(1)
 	assert.Len(t, b.probes, 1)
 	assert.Equal(t, 1, b.m.Open())
+	b.m.limits.Shared = 3
+	b.m.Probe(1)
+	assert.Equal(t, 2, b.m.Open(), "beyond its own where descriptors are free")
 }
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -41,8 +41,9 @@
 	Backlog   int     // of connections not yet accepted
 	Pipeline  int     // commands in hand of one connection
 	Unsent    int     // answers that a connection may owe before it is read again
+	Shared    int     // descriptors for clients and members together
 	Clients   int     // client connections
-	Members   int     // member connections
+	Members   int     // member connections, or more while descriptors are free
 	Epoch     float64 // before the start from which positions count; the reason stands in core
 	Way       float64 // kept of a client's time for the answer's way: what one tick of the settings is
 	Stall     float64 // that a client may stay in the middle of a message or an answer
@@ -62,7 +63,7 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 64
-	leastMemoryMB   = 32
+	leastMemoryMB   = 16
 	blockSize       = 4 << 10
 	blockShare      = 3 // the memory limit holds this many times the buffers
 	largestValue    = 64 << 10
@@ -81,7 +82,7 @@
 		Answer:  largestValue + blockSize, Page: 8 << 20,
 		Packet: 10000, Comment: 1 << 10, Note: 8 << 10, Line: 8 << 10, Events: 256,
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Pipeline: 64, Unsent: 4 * largestValue,
-		Clients: rest - rest/memberShare, Members: rest / memberShare,
+		Shared: rest, Clients: rest - rest/memberShare, Members: rest / memberShare,
 		Epoch: 3600, Way: told.Tick, Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Watch: 5, Late: 2, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
