A member that greets with a row no longer crashes the router

Found on rereading, confirmed by a test that fails with a nil pointer before the mend: the answer of a new connection had no pool for its row until the greeting was over, so a DataRow in the greeting ended the program. Now it has one from the start; a greeting with a row, a password request, nonsense or trailing bytes is a connection that never came up, and every buffer is given back. Three error codes that nobody used are gone.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -165,7 +165,8 @@
 		m.count.DialsFailed++
 		return nil
 	}
-	c := &conn{m: m, node: node, at: at, fd: fd, in: m.blocks.New(), out: m.blocks.New()}
+	c := &conn{m: m, node: node, at: at, fd: fd, in: m.blocks.New(), out: m.blocks.New(),
+		answer: pg.Answer{Row: m.blocks.New()}}
 	c.timer = loop.NewTimer(c.due)
 	if err := m.loop.Add(fd, c, true, true); err != nil {
 		loop.Discard(fd)
@@ -275,10 +276,12 @@
 	c.answer = pg.Answer{Row: c.m.blocks.New()}
 	again := !ended && !a.Fatal && c.in.Len() == 0 && c.out.Len() == 0
 	if c.state == greeting {
+		rows := a.Row.Len() > 0
+		a.Row.Free()
 		switch {
 		case a.Code == pg.CodeFull:
 			c.end(router.Full)
-		case a.Code != "" || !again:
+		case a.Code != "" || rows || !again:
 			c.end(router.Unreached)
 		default:
 			c.state = idle
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -264,6 +264,31 @@
 	assert.Empty(t, b.values)
 }
 
+func TestMemberThatDoesNotGreetProperlyHasRunNothing(t *testing.T) {
+	for what, k := range map[string]struct {
+		said   []byte
+		ending router.Ending
+	}{
+		"a row":           {answer("x"), router.Unreached},
+		"nonsense":        {[]byte("SSH-2.0-x\r\n"), router.Unreached},
+		"an error":        {pg.Error(nil, true, "57P03", "", ""), router.Unreached},
+		"too many of us":  {pg.Error(nil, true, pg.CodeFull, "", ""), router.Full},
+		"a password, pls": {pg.Message(nil, 'R', []byte{0, 0, 0, 3}), router.Unreached},
+		"one byte more":   {append(pg.Welcome(nil), 'N'), router.Unreached},
+	} {
+		b := newBench(t)
+		d := b.send("d=99", far)
+		c, err := b.node.Accept()
+		require.NoError(t, err)
+		_, _ = c.Write(k.said)
+		b.run(b.ended(1))
+		_ = c.Close()
+		assert.Equal(t, k.ending, b.endings[0], what)
+		d.Text.Free()
+		assert.Zero(t, b.blocks.Out(), what)
+	}
+}
+
 func TestChangedAddressTakesNothingNewOnOldConnections(t *testing.T) {
 	b := newBench(t)
 	b.send("d=99", far)
--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -24,13 +24,10 @@
 	CodeNotPrimary  = "25006" // read only
 	CodeBehind      = "72000" // snapshot too old
 	CodeFailed      = "58000" // system error
-	CodeTimedOut    = "57014" // query cancelled
-	CodeShutdown    = "57P01" // admin shutdown
 	CodeProtocol    = "08P01" // protocol violation
 	CodeSyntax      = "42601"
 	CodeValue       = "22023" // invalid parameter value
 	CodeUnsupported = "0A000"
-	CodeTooLarge    = "54000" // program limit exceeded
 )
 
 // Start is what a start-up packet asks for.
