Settings without the warming time or the fall span are told at the start

Found by a probe (16 clients and a member that send wrong messages, loopback, 25 s): with no rampTimeNs the module's rate of a warm node is no number and nothing is ever sent. Such settings now end the start with a line that names the key.

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -172,8 +172,8 @@
 		{"limits.dialTimeoutNs", t.Dial, true, math.Inf(1)}, {"limits.connIdleNs", t.Idle, true, math.Inf(1)},
 		{"limits.mostTries", float64(t.Tries), true, math.Inf(1)}, {"me", float64(t.Me), false, math.Inf(1)},
 		{"tickNs", t.Tick, false, 1}, {"limits.maxRetryAfterNs", t.MaxAdvice, false, math.Inf(1)},
-		{"invariants.startCapacity", t.ColdShare, false, 1}, {"invariants.rampTimeNs", t.WarmIn, false, math.Inf(1)},
-		{"invariants.overloadFactor", t.Overload, false, math.Inf(1)}, {"invariants.fallNs", t.FallSpan, false, math.Inf(1)},
+		{"invariants.startCapacity", t.ColdShare, false, 1}, {"invariants.rampTimeNs", t.WarmIn, true, math.Inf(1)},
+		{"invariants.overloadFactor", t.Overload, true, math.Inf(1)}, {"invariants.fallNs", t.FallSpan, true, math.Inf(1)},
 		{"scoreParts.whole", t.Whole, false, 1}, {"scoreParts.worstClass", t.Worst, false, 1},
 	} {
 		if r.value < 0 || r.above && r.value == 0 || r.value > r.most {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -20,7 +20,8 @@
    {"name":"order","effect":"token","keyScope":"cell","targetNs":500000000,"deadlineNs":2000000000,"worth":2}],
   "familyInfo":{"tokens":"kept","guards":"none","needsByClass":["causal","mutate"],"classBoundNs":[0,0],"zeroNs":5},
   "loadInfo":{"source":"probe","fields":["x0","x1"]},
-  "limits":{"mostTries":4,"dialTimeoutNs":250000000,"connIdleNs":15000000000,"probes":true}}}`
+  "limits":{"mostTries":4,"dialTimeoutNs":250000000,"connIdleNs":15000000000,"probes":true},
+  "invariants":{"startCapacity":0.2,"rampTimeNs":9000000000,"overloadFactor":2,"fallNs":2000000000}}}`
 
 func load(t *testing.T, text string, env map[string]string) (Start, error) {
 	t.Helper()
@@ -78,7 +79,7 @@
 		"limits.dialTimeoutNs":          {"dialTimeoutNs", "dialTimeout"},
 		"limits.connIdleNs":             {"connIdleNs", "connIdle"},
 		"limits.mostTries":              {`"mostTries":4`, `"mostTries":0`},
-		"GW_CONFIG: unexpected end":     {`"probes":true}}}`, ""},
+		"GW_CONFIG: unexpected end":     {`2000000000}}}`, ""},
 		"classes.worth of type float64": {`"worth":2`, `"worth":"much"`},
 	} {
 		require.Contains(t, config, change[0])
