--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -115,6 +115,16 @@
 // CopyTo appends n bytes from an offset on to another chain.
 func (c *Chain) CopyTo(dst *Chain, from, n int) { c.Each(from, n, dst.Write) }
 
+// MoveTo appends all of a chain to another and leaves it empty. Blocks change hands where the other is empty.
+func (c *Chain) MoveTo(dst *Chain) {
+	if dst.n == 0 && dst.pool == c.pool {
+		*c, *dst = *dst, *c
+		return
+	}
+	c.CopyTo(dst, 0, c.n)
+	c.Free()
+}
+
 // Skip reads n bytes away; blocks that are used up go back to the pool.
 func (c *Chain) Skip(n int) {
 	n = min(n, c.n)
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -55,6 +55,23 @@
 	assert.Equal(t, "abcdefghij", string(all(&a)), "the first is as it was")
 }
 
+func TestChainIsMovedWhole(t *testing.T) {
+	p := NewPool(4, 100)
+	a, b := p.New(), p.New()
+	a.Write([]byte("xxabcdef"))
+	a.Skip(2)
+	first := &a.First()[0]
+	a.MoveTo(&b)
+	assert.Same(t, first, &b.First()[0], "into an empty chain blocks go as they are")
+	assert.Zero(t, a.Len())
+	a.Write([]byte("ghi"))
+	a.MoveTo(&b)
+	assert.Equal(t, "abcdefghi", string(all(&b)))
+	assert.Zero(t, a.Len())
+	b.Free()
+	assert.Zero(t, p.Out())
+}
+
 func TestBlocksAreUsedAgainAndCounted(t *testing.T) {
 	p := NewPool(4, 2)
 	c := p.New()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,12 +67,6 @@
 	cached, failed bool
 }
 
-// act is one thing to carry out.
-type act struct {
-	dispatch *member.Dispatch
-	recall   *member.Dispatch
-}
-
 // Core is one router.
 type Core struct {
 	loop    *loop.Loop
@@ -93,12 +87,13 @@
 	last uint32
 
 	// What was gathered in this turn, and what came back.
-	lists  []listed
-	probes []probed
-	ends   []outcome
-	left   []*Command
-	taken  []*Command
-	acts   []act
+	lists   []listed
+	probes  []probed
+	ends    []outcome
+	left    []*Command
+	taken   []*Command
+	recalls []*member.Dispatch
+	sends   []*member.Dispatch
 }
 
 // New returns a router that knows the list it had last.
@@ -159,7 +154,7 @@
 func (o *Core) Members() int { return o.members.Open() }
 
 // MakeRoom closes an idle connection to a member, if members hold more than their own descriptors.
-func (o *Core) MakeRoom(members int) bool { return o.members.Open() > members && o.members.Shed() }
+func (o *Core) MakeRoom() bool { return o.members.MakeRoom() }
 
 // Close ends the watch and all idle connections to members.
 func (o *Core) Close() {
@@ -323,7 +318,7 @@
 	o.count.Left++
 	o.hand.Left(now, c.id)
 	if c.dispatch != nil && c.dispatch.Unsent() {
-		o.acts = append(o.acts, act{recall: c.dispatch})
+		o.recalls = append(o.recalls, c.dispatch)
 	}
 	o.finish(c)
 }
@@ -337,22 +332,19 @@
 
 // carry carries out what came back. What is given up is closed before anything new goes out.
 func (o *Core) carry() {
-	for _, a := range o.acts {
-		if a.recall != nil {
-			o.members.Recall(a.recall)
-		}
+	for _, d := range o.recalls {
+		o.members.Recall(d)
 	}
-	for _, a := range o.acts {
-		switch {
-		case a.dispatch == nil:
-		case o.cmds[a.dispatch.ID] == nil: // its client left in this same turn
-			o.Ended(a.dispatch, router.Moot, 0, nil)
-		default:
-			o.members.Send(a.dispatch)
+	for _, d := range o.sends {
+		if o.cmds[d.ID] == nil { // its client left in this same turn
+			o.Ended(d, router.Moot, 0, nil)
+			continue
 		}
+		o.members.Send(d)
 	}
-	clear(o.acts)
-	o.acts = o.acts[:0]
+	clear(o.recalls)
+	clear(o.sends)
+	o.recalls, o.sends = o.recalls[:0], o.sends[:0]
 }
 
 // Dispatch implements hand.Out.
@@ -360,13 +352,13 @@
 	c := o.cmds[id]
 	d := &member.Dispatch{ID: id, Leg: leg, Node: node, Text: &c.Text, From: c.From, To: c.To, Until: until}
 	c.dispatch = d
-	o.acts = append(o.acts, act{dispatch: d})
+	o.sends = append(o.sends, d)
 }
 
 // Recall implements hand.Out.
 func (o *Core) Recall(id uint32, leg int) {
 	if c := o.cmds[id]; c != nil && c.dispatch != nil && c.dispatch.Leg == leg {
-		o.acts = append(o.acts, act{recall: c.dispatch})
+		o.recalls = append(o.recalls, c.dispatch)
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -86,7 +86,7 @@
 	var s said
 	c := command(o, blocks, &s)
 	o.hear(0.1)
-	require.Len(t, o.acts, 1)
+	require.Len(t, o.sends, 1)
 	o.Left(c) // before the dispatch was carried out
 	o.hear(0.1)
 	o.carry()
@@ -101,8 +101,8 @@
 	var s said
 	command(o, blocks, &s)
 	o.hear(0.1)
-	d := o.acts[0].dispatch
-	o.acts = nil
+	d := o.sends[0]
+	o.sends = nil
 	answer := func() *pg.Answer {
 		a := &pg.Answer{Row: blocks.New()}
 		a.Row.Write([]byte("row"))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,9 +2,9 @@
 package discovery
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
-	"strconv"
 
 	"github.com/rs/zerolog"
 
@@ -91,7 +91,7 @@
 // due is called when a call took too long or the pause before the next is over.
 func (w *Watch) due() {
 	if w.fd >= 0 {
-		w.fail(fmt.Errorf("no reply"))
+		w.fail(errors.New("no reply"))
 		return
 	}
 	w.Ask()
@@ -167,7 +167,7 @@
 	reply := w.reply
 	w.reply = http1.Reply{}
 	if reply.Status != 200 {
-		w.fail(fmt.Errorf("status %s", strconv.Itoa(reply.Status)))
+		w.fail(fmt.Errorf("status %d", reply.Status))
 		return
 	}
 	list, err := roster.Parse(reply.Body)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,7 +77,7 @@
 func (f *Front) accept(most int) {
 	for range most {
 		full := len(f.conns) >= f.limits.Clients ||
-			f.loop.Open() >= f.limits.Shared && !f.core.MakeRoom(f.limits.Members)
+			f.loop.Open() >= f.limits.Shared && !f.core.MakeRoom()
 		if full && !f.shed() {
 			f.rest()
 			return
@@ -254,7 +254,6 @@
 	switch {
 	case between && c.place == nil:
 		c.place = c.f.idle.PushBack(c)
-		c.f.loop.Unset(c.timer)
 	case !between && c.place != nil:
 		c.f.idle.Remove(c.place)
 		c.place = nil
@@ -452,8 +451,7 @@
 		s := c.slots[0]
 		c.slots[0] = nil
 		c.slots = c.slots[1:]
-		s.out.CopyTo(&c.out, 0, s.out.Len())
-		s.out.Free()
+		s.out.MoveTo(&c.out)
 	}
 	c.flush()
 	if c.state != closed {
@@ -464,7 +462,7 @@
 // Answered implements core.Front.
 func (f *Front) Answered(cmd *core.Command, row *buffer.Chain) {
 	if o := cmd.Owner.(owner); o.c.state != closed {
-		row.CopyTo(&o.s.out, 0, row.Len())
+		row.MoveTo(&o.s.out)
 	}
 	row.Free()
 	f.answer(cmd, pg.Ready(nil))
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -139,8 +139,8 @@
 // Stop ends Run after this turn.
 func (l *Loop) Stop() { l.stopped = true }
 
-// Run turns until Stop, and may be called again: descriptors, timers, then settle, which says when it wants to be called at the
-// latest.
+// Run turns until Stop, and may be called again: descriptors, timers, then settle, which says when it wants
+// to be called at the latest.
 func (l *Loop) Run(settle func(now float64) float64) error {
 	ready := make([]unix.EpollEvent, l.events)
 	next := 0.0
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -66,15 +66,20 @@
 	}
 	h := &m.hosts[node]
 	if gone || h.at != at {
-		for len(h.idle) > 0 {
-			h.idle[len(h.idle)-1].close()
-		}
+		h.hangUp()
 	}
 	if at.IsValid() {
 		h.at = at
 	}
 }
 
+// hangUp closes the idle connections.
+func (h *host) hangUp() {
+	for len(h.idle) > 0 {
+		h.idle[len(h.idle)-1].close()
+	}
+}
+
 // states of a connection.
 type state int
 
@@ -156,7 +161,7 @@
 
 func (m *Members) dial(node int) *conn {
 	at := m.hosts[node].at
-	if !at.IsValid() || m.open >= m.limits.Members && m.loop.Open() >= m.limits.Shared && !m.Shed() {
+	if !at.IsValid() || m.open >= m.limits.Members && m.loop.Open() >= m.limits.Shared && !m.shed() {
 		return nil
 	}
 	m.count.Dialled++
@@ -176,8 +181,11 @@
 	return c
 }
 
-// Shed closes the longest idle connection to make room for a new one, and says whether there was one.
-func (m *Members) Shed() bool {
+// MakeRoom closes an idle connection if members hold more than their own descriptors.
+func (m *Members) MakeRoom() bool { return m.open > m.limits.Members && m.shed() }
+
+// shed closes the longest idle connection to make room for a new one, and says whether there was one.
+func (m *Members) shed() bool {
 	var oldest *conn
 	for i := range m.hosts {
 		if s := m.hosts[i].idle; len(s) > 0 && (oldest == nil || s[0].since < oldest.since) {
@@ -226,7 +234,7 @@
 // flush writes on. Whether a dispatch may have run goes by its last byte.
 func (c *conn) flush() {
 	if err := loop.Write(c.fd, &c.out); err != nil {
-		c.fail()
+		c.end(router.Broken)
 		return
 	}
 	if c.out.Len() == 0 && c.state == sending {
@@ -239,7 +247,7 @@
 func (c *conn) Ready(readable, writable bool) {
 	if c.state == dialling {
 		if err := loop.Dialled(c.fd); err != nil {
-			c.fail()
+			c.end(router.Unreached)
 			return
 		}
 		c.state = greeting
@@ -261,12 +269,12 @@
 	_, err := loop.Read(c.fd, &c.in, c.m.limits.Read)
 	done, bad := c.answer.Take(&c.in, c.m.limits.Answer, c.m.limits.Note)
 	switch {
-	case bad != nil && c.state == waiting:
+	case bad != nil:
 		c.end(router.Errored)
 	case done:
 		c.answered(err != nil)
-	case err != nil || bad != nil:
-		c.fail()
+	case err != nil:
+		c.end(router.Broken)
 	}
 }
 
@@ -291,7 +299,7 @@
 	}
 	if c.state != waiting { // an answer to a question that was not yet put
 		a.Row.Free()
-		c.fail()
+		c.end(router.Broken)
 		return
 	}
 	d, probe, since := c.dispatch, c.probe, c.since
@@ -302,8 +310,9 @@
 		c.close()
 	}
 	if probe {
+		report := a.Report()
 		a.Row.Free()
-		c.probed(a.Served(), now-since, a.Report)
+		c.probed(a.Served(), now-since, report)
 		return
 	}
 	d.conn = nil
@@ -337,28 +346,16 @@
 
 // due is called when the time of what the connection does has run out.
 func (c *conn) due() {
-	switch c.state {
-	case idle:
+	if c.state == idle {
 		c.m.count.IdleClosed++
 		c.close()
-	case waiting:
-		c.end(router.TimedOut)
-	default:
-		c.end(router.Unreached)
-	}
-}
-
-// fail takes in that the connection broke.
-func (c *conn) fail() {
-	if c.state == waiting {
-		c.end(router.Broken)
 		return
 	}
-	c.end(router.Unreached)
+	c.end(router.TimedOut)
 }
 
-// end closes the connection with an outcome for what it carried: none has run whose last byte was not
-// written.
+// end closes the connection with an outcome for what it carried. Whatever ended it, nothing has run whose
+// last byte was not written: only here is one told from the other.
 func (c *conn) end(e router.Ending) {
 	if c.state != waiting && e != router.Full {
 		e = router.Unreached
@@ -411,8 +408,6 @@
 // Close ends all idle connections.
 func (m *Members) Close() {
 	for i := range m.hosts {
-		for len(m.hosts[i].idle) > 0 {
-			m.hosts[i].idle[len(m.hosts[i].idle)-1].close()
-		}
+		m.hosts[i].hangUp()
 	}
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -36,7 +36,7 @@
 func (b *bench) Ended(_ *Dispatch, e router.Ending, _ float64, a *pg.Answer) {
 	b.endings = append(b.endings, e)
 	if a != nil {
-		b.values = append(b.values, a.Report)
+		b.values = append(b.values, a.Report())
 		a.Row.Free()
 	}
 }
--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -18,9 +18,8 @@
 	Position int64        // Unix milliseconds; 0: not told
 	Role     string       // as told: off from a primary, on from a replica
 	Health   string       // a report told beside the answer
-	Report   string       // the one value of a probe's row
 	described, rows, completed,
-	value int
+	valueAt, value int // where the one value stands in the row, and its length; 0: none, or longer than a note
 	whole bool
 }
 
@@ -28,8 +27,15 @@
 var ErrShape = errors.New("malformed answer")
 
 // Served says that the answer holds a row and nothing else.
-func (a *Answer) Served() bool {
-	return a.whole && a.Code == "" && a.described == 1 && a.rows == 1 && a.completed == 1
+func (a *Answer) Served() bool { return a.whole && a.Code == "" && a.oneRow() }
+
+func (a *Answer) oneRow() bool { return a.described == 1 && a.rows == 1 && a.completed == 1 }
+
+// Report is the one value of the row, if it is no longer than a note: what a probe is answered with.
+func (a *Answer) Report() string {
+	b := make([]byte, 0, a.value)
+	a.Row.Each(a.valueAt, a.value, func(p []byte) { b = append(b, p...) })
+	return string(b)
 }
 
 // Take takes whole messages of most bytes at the most off a chain. Those that are looked into are notes, and
@@ -79,7 +85,7 @@
 		a.fail(note)
 		return a.Fatal, nil
 	case 'Z':
-		if a.described+a.rows+a.completed > 0 && a.Code == "" && !(a.described == 1 && a.rows == 1 && a.completed == 1) {
+		if a.described+a.rows+a.completed > 0 && a.Code == "" && !a.oneRow() {
 			return false, fmt.Errorf("%w: %d rows", ErrShape, a.rows)
 		}
 		return true, nil
@@ -98,13 +104,11 @@
 		a.rows++
 		var head [headLen + 6]byte
 		got := in.Peek(head[:])
-		a.value = int(int32(binary.BigEndian.Uint32(head[headLen+2:])))
+		value := int(int32(binary.BigEndian.Uint32(head[headLen+2:])))
 		ok = a.described == 1 && a.rows == 1 && a.completed == 0 && got == len(head) && size >= len(head) &&
-			binary.BigEndian.Uint16(head[headLen:]) == 1 && (a.value == size-len(head) || a.value == -1)
-		if ok && a.value >= 0 && a.value <= most {
-			b := make([]byte, size)
-			in.Peek(b)
-			a.Report = string(b[len(head):])
+			binary.BigEndian.Uint16(head[headLen:]) == 1 && (value == size-len(head) || value == -1)
+		if ok && value >= 0 && value <= most {
+			a.valueAt, a.value = a.Row.Len()+len(head), value
 		}
 	case 'C':
 		a.completed++
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -79,7 +79,7 @@
 		require.Equal(t, int64(1767225600123), a.Position)
 		require.Equal(t, "on", a.Role)
 		require.Equal(t, "x0=1", a.Health)
-		require.Equal(t, "a value", a.Report)
+		require.Equal(t, "a value", a.Report())
 		got := make([]byte, a.Row.Len())
 		a.Row.Peek(got)
 		require.Equal(t, rows, got, "the row is passed on byte for byte")
