SIGHUP reads the configuration again and moves the watch of the list

site.Reload reads the file by the checks of the start, the file winning over variables that still hold the old address. Only discovery moves: discovery.Watch.Move calls the new address at once for the whole list, whatever pause was left. A faulty file is refused with one line; other changed keys are named as waiting for a restart. A call to discovery now fails after 1 s instead of 2, so that one that meets silence is made four times within the 4 s in which a change must be told; an agent on the own machine answers at once. Harm: a reload drops the call that is out, and changes that it would have brought come with the whole list instead.

--- a/cmd/stoatdale/main.go
+++ b/cmd/stoatdale/main.go
@@ -22,12 +22,12 @@
 }
 
 func run() error {
+	signals := make(chan os.Signal, 16) // before anything else: an early SIGHUP would end the program
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	start, err := service.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4) // before the router says that it serves, or an early one is lost
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(start.Limits.Memory / 4 * 3) // the rest is for what the run time does not count
 	signal.Ignore(syscall.SIGPIPE)                    // a log that nobody reads any more must not end the router,
@@ -38,9 +38,12 @@
 	}
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				r.LogCounters()
-			} else {
+			case syscall.SIGHUP:
+				r.Reload(os.Getenv)
+			default:
 				r.Drain()
 			}
 		}
--- a/cmd/stoatdale/main_test.go
+++ b/cmd/stoatdale/main_test.go
@@ -169,6 +169,7 @@
 	t         *testing.T
 	cmd       *exec.Cmd
 	at        string
+	path      string // of the configuration
 	log       chan string
 	discovery *discovery
 }
@@ -197,10 +198,10 @@
 		"seed": "1f", "limits": map[string]any{"memory_mb": 48, "sockets": sockets}, "settings": settings(probes),
 		"known": json.RawMessage(`{"generation":0,"reset":true,"instances":[` + strings.Join(instances, ",") + "]}")})
 	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, config, 0o600))
+	r.path = filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(r.path, config, 0o600))
 	r.cmd = exec.Command(program)
-	r.cmd.Env = []string{"GW_CONFIG=" + path}
+	r.cmd.Env = []string{"GW_CONFIG=" + r.path, "GW_DISCOVERY=" + r.discovery.at}
 	out, err := r.cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, r.cmd.Start())
@@ -504,6 +505,54 @@
 	assert.NoError(t, r.cmd.Wait())
 }
 
+// reload has the configuration changed and read again.
+func (r *rig) reload(from, to string) {
+	r.t.Helper()
+	config, err := os.ReadFile(r.path)
+	require.NoError(r.t, err)
+	require.Contains(r.t, string(config), from)
+	require.NoError(r.t, os.WriteFile(r.path, bytes.Replace(config, []byte(from), []byte(to), 1), 0o600))
+	require.NoError(r.t, r.cmd.Process.Signal(syscall.SIGHUP))
+}
+
+func TestReloadMovesTheListAndLosesNoCommand(t *testing.T) {
+	hold := make(chan struct{})
+	a, b := newMember(t, func(q string) []byte { <-hold; return says("on")(q) }), newMember(t, says("on"))
+	r := start(t, entry(a, "a", "ready", "on"))
+	c := r.client()
+	c.send(pg.Query(nil, look("k")))
+	next(t, a.asked)
+	other := newDiscovery(t, entry(b, "b", "ready", "on"))
+	r.reload(`"discovery":"`+r.discovery.at, `"discovery":"`+other.at)
+	assert.Contains(t, r.logged("reloaded"), other.at, "the file wins over the variable")
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP), "twice in a row")
+	r.counted("reloads", 2)
+	r.counted("lists", 2)
+	for range 5 {
+		assert.Equal(t, "value of n", r.client().ask(look("n")))
+	}
+	assert.Empty(t, a.asked, "which the new list does not name")
+	close(hold)
+	assert.Equal(t, "value of k", c.reply())
+	assert.Zero(t, r.counters()["reloads_refused"])
+}
+
+func TestReloadOfAFaultyFileChangesNothing(t *testing.T) {
+	b := newMember(t, says("on"))
+	r := start(t, entry(b, "b", "ready", "on"))
+	r.reload(`"seed":"1f"`, `"seed":"xyz"`)
+	assert.Contains(t, r.logged("reload refused"), "seed")
+	r.reload(`"seed":"xyz"`, `"seed":"2f"`)
+	assert.Contains(t, r.logged("changed keys"), `["seed"]`)
+	require.NoError(t, os.Remove(r.path))
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP))
+	r.logged("reload refused")
+	n := r.counters()
+	assert.EqualValues(t, 1, n["reloads"])
+	assert.EqualValues(t, 2, n["reloads_refused"])
+	assert.Equal(t, "value of k", r.client().ask(look("k")))
+}
+
 func TestBadInputIsToldAndTheConnectionGoesOnWhereItCan(t *testing.T) {
 	b := newMember(t, says("on"))
 	r := start(t, entry(b, "b", "ready", "on"))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"strconv"
 	"strings"
 
@@ -156,6 +157,9 @@
 // MakeRoom closes an idle connection to a member, if members hold more than their own descriptors.
 func (o *Core) MakeRoom() bool { return o.members.MakeRoom() }
 
+// Follow has the list watched at another address.
+func (o *Core) Follow(at netip.AddrPort) { o.watch.Move(at) }
+
 // Close ends the watch and all idle connections to members.
 func (o *Core) Close() {
 	o.watch.Close()
--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -18,6 +18,7 @@
 	IdleClosed                        uint64
 	Probes, ProbesFailed              uint64
 	Lists, ListsFailed                uint64
+	Reloads, ReloadsRefused           uint64 // of the configuration
 	BlocksInUse                       uint64
 	LongestTurn                       float64 // seconds
 }
@@ -43,6 +44,7 @@
 		Uint64("dialled", c.Dialled).Uint64("dials_failed", c.DialsFailed).
 		Uint64("members_open", c.MembersOpen).Uint64("idle_closed", c.IdleClosed).
 		Uint64("probes", c.Probes).Uint64("probes_failed", c.ProbesFailed).
+		Uint64("reloads", c.Reloads).Uint64("reloads_refused", c.ReloadsRefused).
 		Uint64("lists", c.Lists).Uint64("lists_failed", c.ListsFailed).
 		Uint64("blocks_in_use", c.BlocksInUse).Float64("longest_turn_ms", c.LongestTurn*1000)
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -71,6 +71,15 @@
 	w.loop.Set(w.timer, w.loop.Now()+w.limits.Late)
 }
 
+// Move turns to another address: it is called at once for the whole list, whatever pause failures of the old
+// one had left. Until it answers the last list stands.
+func (w *Watch) Move(at netip.AddrPort) {
+	w.at = at
+	w.hangUp()
+	w.generation, w.pause = -1, w.limits.Pause
+	w.Ask()
+}
+
 // Close ends the watch.
 func (w *Watch) Close() {
 	w.ended = true
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -141,3 +141,20 @@
 	w.w.Ask()
 	assert.Equal(t, -1, w.w.fd)
 }
+
+func TestMoveCallsTheNewAddressAtOnce(t *testing.T) {
+	w := newWatcher(t, false, list(5, true), list(4, true), list(4, true))
+	there := w.w.at
+	w.w.limits.Pause, w.w.limits.LongPause, w.w.limits.Late = 60, 60, 60
+	w.w.at = netip.MustParseAddrPort("127.0.0.1:1")
+	w.w.Ask()
+	assert.Equal(t, []string{"failed"}, w.run(t, 1))
+	w.w.Move(there) // a pause of a minute is left
+	assert.Equal(t, "5 true", w.run(t, 2)[1])
+	w.w.Move(there) // a call is out
+	assert.Equal(t, "4 true", w.run(t, 3)[2], "the whole list is asked for again, and may go back")
+	w.w.Close()
+	w.w.Move(there)
+	assert.Equal(t, -1, w.w.fd)
+	assert.Equal(t, 1, w.l.Open(), "no descriptor is left but the loop's own")
+}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -103,3 +103,17 @@
 	_, err = Load(func(string) string { return "/nowhere/at/all" })
 	assert.ErrorContains(t, err, "GW_CONFIG")
 }
+
+func TestReloadGoesByTheFileAndNamesWhatNeedsARestart(t *testing.T) {
+	first, err := load(t, config, nil)
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	moved := strings.Replace(strings.Replace(config, "127.2.0.1", "127.2.0.9", 1), `"sockets":600`, `"sockets":500`, 1)
+	require.NoError(t, os.WriteFile(path, []byte(moved), 0o600))
+	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.2.0.1:8500"}
+	second, err := Reload(func(name string) string { return env[name] })
+	require.NoError(t, err, "the variable holds the address of the start")
+	assert.Equal(t, "127.2.0.9:8500", second.Discovery.String())
+	assert.Equal(t, []string{"limits"}, first.Fixed(&second))
+	assert.Empty(t, first.Fixed(&first))
+}
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"stoatdale.example/stoatdale/internal/roster"
@@ -84,7 +85,7 @@
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Pipeline: 64, Unsent: 4 * largestValue,
 		Shared: rest, Clients: rest - rest/memberShare, Members: rest / memberShare,
 		Epoch: 3600, Way: told.Tick, Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
-		Watch: 5, Late: 2, Pause: 0.05, LongPause: 1,
+		Watch: 5, Late: 1, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
 	}
 }
@@ -105,7 +106,13 @@
 
 // Load reads the variables GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_CONFIG by way of env and the file that
 // the last one names. A variable and the file must not differ; either may be left out but GW_CONFIG.
-func Load(env func(string) string) (Start, error) {
+func Load(env func(string) string) (Start, error) { return read(env, true) }
+
+// Reload reads them again by the same checks, but for one: where a variable and the file differ the file
+// wins, since the environment still holds what the process was started with.
+func Reload(env func(string) string) (Start, error) { return read(env, false) }
+
+func read(env func(string) string, agree bool) (Start, error) {
 	path := env("GW_CONFIG")
 	if path == "" {
 		return Start{}, errors.New("GW_CONFIG is not set")
@@ -123,7 +130,7 @@
 		value         *string
 	}{{"GW_NAME", "name", &f.Name}, {"GW_LISTEN", "listen", &f.Listen}, {"GW_DISCOVERY", "discovery", &f.Discovery}} {
 		v := env(p.variable)
-		if v != "" && *p.value != "" && v != *p.value {
+		if agree && v != "" && *p.value != "" && v != *p.value {
 			return Start{}, fmt.Errorf("%s is %q, but %s in GW_CONFIG is %q", p.variable, v, p.key, *p.value)
 		}
 		if *p.value == "" {
@@ -179,3 +186,21 @@
 	}
 	return s, nil
 }
+
+// Fixed names the keys in which another start differs and that only a restart takes in. The list that was
+// known last is none: it changes by itself.
+func (s *Start) Fixed(other *Start) []string {
+	var keys []string
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", s.Name == other.Name}, {"listen", s.Listen == other.Listen}, {"seed", s.Seed == other.Seed},
+		{"limits", s.Limits == other.Limits}, {"settings", reflect.DeepEqual(s.Told, other.Told)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
--- a/service/service.go
+++ b/service/service.go
@@ -87,6 +87,27 @@
 	})
 }
 
+// Reload reads the configuration anew, by way of env as Load did, and moves the watch of the list to the
+// address that it names. All else stays as it was: other changes are logged and wait for a restart. What
+// cannot be read or is wrong is refused whole. It may be called from any goroutine.
+func (r *Router) Reload(env func(string) string) {
+	s, err := site.Reload(env)
+	r.loop.Post(func() {
+		if err != nil {
+			r.count.ReloadsRefused++
+			r.log.Error().Err(err).Msg("reload refused")
+			return
+		}
+		r.count.Reloads++
+		if keys := r.start.Fixed(&s); len(keys) > 0 {
+			r.log.Warn().Strs("keys", keys).Msg("changed keys wait for a restart")
+		}
+		r.log.Info().Stringer("discovery", s.Discovery).Stringer("before", r.start.Discovery).Msg("reloaded")
+		r.start.Discovery = s.Discovery
+		r.core.Follow(s.Discovery)
+	})
+}
+
 // LogCounters has the counters logged. It may be called from any goroutine.
 func (r *Router) LogCounters() { r.loop.Post(r.logCounters) }
 
