--- a/cmd/stoatdale/main_test.go
+++ b/cmd/stoatdale/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
@@ -316,7 +317,8 @@
 }
 
 func look(key string) string {
-	return fmt.Sprintf("SELECT doc FROM items WHERE id = '%s' /* id=01,c=look,d=3000,cluster=2 */", key)
+	return fmt.Sprintf("SELECT doc FROM items WHERE id = '%s' /* id=%08x,c=look,d=3000,cluster=2 */",
+		key, crc32.ChecksumIEEE([]byte(key)))
 }
 
 func order(key string, wait int) string {
@@ -372,14 +374,13 @@
 		}
 		return says("on")(q)
 	})
-	c := start(t, entry(b, "b", "ready", "on")).client()
+	r := start(t, entry(b, "b", "ready", "on"))
+	c := r.client()
 	all := pg.Query(pg.Query(pg.Query(nil, look("slow")), ""), look("quick"))
 	for i := range all {
 		c.send(all[i : i+1])
 	}
-	for len(b.asked) < 2 { // both are out at once
-		time.Sleep(time.Millisecond)
-	}
+	r.counted("dispatches", 2) // both are out at once
 	close(first)
 	assert.Equal(t, "value of slow", c.reply())
 	assert.Equal(t, "EMPTY", c.reply())
@@ -462,6 +463,7 @@
 	c := r.client()
 	for range 5 {
 		assert.Equal(t, "value of k", c.ask(look("k")))
+		time.Sleep(20 * time.Millisecond) // it must have rested
 	}
 	assert.EqualValues(t, 1, r.counters()["dialled"])
 	assert.Empty(t, b.closed)
@@ -583,13 +585,14 @@
 	assert.Equal(t, " END", c.reply(), "cancel closes")
 }
 
-func TestIdleClientsMakeRoomNearTheLimitOfDescriptors(t *testing.T) {
+func TestSilentClientsMakeRoomNearTheLimitOfDescriptors(t *testing.T) {
 	r := startWith(t, 64, false)
 	for range 100 {
-		assert.Equal(t, "EMPTY", r.client().ask(""))
+		r.client() // which says nothing more
 	}
+	assert.Equal(t, "EMPTY", r.client().ask(""))
 	n := r.counters()
-	assert.EqualValues(t, 100, n["clients_accepted"])
+	assert.EqualValues(t, 101, n["clients_accepted"])
 	assert.Greater(t, n["clients_shed"], 50.0)
 }
 
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -10,6 +10,7 @@
 	"math"
 
 	"stoatdale.example/stoatdale/internal/hand"
+	"stoatdale.example/stoatdale/internal/index"
 	"stoatdale.example/stoatdale/internal/router"
 	"stoatdale.example/stoatdale/internal/site"
 	"stoatdale.example/stoatdale/internal/wire"
@@ -234,15 +235,14 @@
 	hand    *hand.Hand
 	alarm   float64
 	alarms  uint32 // number of the alarm that counts
-	hosts   []wire.Host
-	index   map[wire.Host]int
-	sets    map[int]int
+	hosts   *index.Table[wire.Host]
+	sets    *index.Table[int]
 	out     wire.Reply
 }
 
 func newInstance(id uint32, clock uint64) *instance {
 	in := &instance{id: id, base: clock, alarm: math.Inf(1),
-		index: map[wire.Host]int{}, sets: map[int]int{}}
+		hosts: index.New[wire.Host](), sets: index.New[int]()}
 	in.out.Reset()
 	return in
 }
@@ -264,30 +264,19 @@
 func (in *instance) update(list []wire.Entry, whole, cached bool) {
 	facts := make([]router.Listing, len(list))
 	for i, e := range list {
-		node, ok := in.index[e.Host]
-		if !ok {
-			node = len(in.hosts)
-			in.index[e.Host] = node
-			in.hosts = append(in.hosts, e.Host)
-		}
-		set, ok := in.sets[e.Cell]
-		if !ok {
-			set = len(in.sets)
-			in.sets[e.Cell] = set
-		}
 		started := math.Inf(-1)
 		if e.Started != 0 {
 			started = seconds(int64(e.Started - in.base))
 		}
-		facts[i] = router.Listing{Node: node, Set: set, Zone: e.Zone, State: router.NodeState(e.State),
-			Started: started, Primary: e.Primary}
+		facts[i] = router.Listing{Node: in.hosts.At(e.Host), Set: in.sets.At(e.Cell), Zone: e.Zone,
+			State: router.NodeState(e.State), Started: started, Primary: e.Primary}
 	}
 	in.router.Listed(in.now, facts, whole, cached)
 }
 
 func (in *instance) job(a wire.Asked) {
 	const repeatMark = 2
-	set, ok := in.sets[a.Cell]
+	set, ok := in.sets.Find(a.Cell)
 	if !ok {
 		set = -1
 	}
@@ -310,7 +299,7 @@
 }
 
 func (in *instance) probed(host wire.Host, ok bool, took uint64, load []float32) {
-	node, known := in.index[host]
+	node, known := in.hosts.Find(host)
 	if !known {
 		return
 	}
@@ -330,7 +319,7 @@
 
 // Dispatch implements hand.Out.
 func (in *instance) Dispatch(id uint32, _, node int, until float64) {
-	in.out.Attempt(id, in.hosts[node], in.stamp(until))
+	in.out.Attempt(id, in.hosts.Name(node), in.stamp(until))
 }
 
 // Recall implements hand.Out.
@@ -364,7 +353,10 @@
 func (in *instance) settle() {
 	next, keep := in.hand.Settle(in.now)
 	for _, node := range keep.Probe {
-		in.out.Check(in.hosts[node])
+		in.out.Check(in.hosts.Name(node))
+	}
+	for _, node := range keep.Forget {
+		in.hosts.Free(node)
 	}
 	if keep.Follow {
 		in.out.Follow()
--- a/internal/adapter/adapter_test.go
+++ b/internal/adapter/adapter_test.go
@@ -106,7 +106,7 @@
 	b, err := wire.ReadBatch(bytes.NewReader(batch(1e9, 5, up(settings), list(), list()[35:])), nil)
 	require.NoError(t, err)
 	require.NoError(t, b.Decode(h))
-	assert.Len(t, h.live[0].hosts, 1)
+	assert.Equal(t, 1, h.live[0].hosts.Len())
 	_, err = wire.ReadBatch(bytes.NewReader(nil), nil)
 	assert.ErrorIs(t, err, io.EOF)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"stoatdale.example/stoatdale/internal/count"
 	"stoatdale.example/stoatdale/internal/discovery"
 	"stoatdale.example/stoatdale/internal/hand"
+	"stoatdale.example/stoatdale/internal/index"
 	"stoatdale.example/stoatdale/internal/loop"
 	"stoatdale.example/stoatdale/internal/member"
 	"stoatdale.example/stoatdale/internal/pg"
@@ -25,6 +26,7 @@
 
 // Command is a command as a front took it. The front fills the first part.
 type Command struct {
+	Name     string // the client's, unlike that of any other command in hand
 	Group    int
 	Set      int // by Core.Set
 	Session  uint64
@@ -80,11 +82,13 @@
 	log     zerolog.Logger
 
 	zeroMs float64 // Unix milliseconds from which positions count
-	nodes  map[string]int
-	sets   map[int]int
-	zones  map[string]int
+	ahead  float64
+	nodes  *index.Table[string] // emptied when the module lets a member go
+	sets   *index.Table[int]    // as many as the deployment has
+	zones  *index.Table[string] // and these
 
-	cmds map[uint32]*Command
+	cmds map[uint32]*Command // emptied, as ids is, by final answers
+	ids  map[string]bool     // the clients' names of the commands in hand
 	last uint32
 
 	// What was gathered in this turn, and what came back.
@@ -99,10 +103,10 @@
 
 // New returns a router that knows the list it had last.
 func New(s *site.Start, l *loop.Loop, blocks *buffer.Pool, c *count.Counters, log zerolog.Logger) *Core {
-	o := &Core{loop: l, told: &s.Told, count: c, log: log, nodes: map[string]int{}, sets: map[int]int{},
-		zones: map[string]int{}, cmds: map[uint32]*Command{}}
-	for i, z := range s.Told.Zones {
-		o.zones[z] = i
+	o := &Core{loop: l, told: &s.Told, count: c, log: log, ahead: s.Limits.Ahead, nodes: index.New[string](),
+		sets: index.New[int](), zones: index.New[string](), cmds: map[uint32]*Command{}, ids: map[string]bool{}}
+	for _, z := range s.Told.Zones {
+		o.zones.At(z)
 	}
 	// Positions count from a while before the start. The module takes a negative one as not told, and rounds
 	// reports by a share of theirs: this is far enough back for any replica worth reading, and near enough that
@@ -131,15 +135,19 @@
 
 // Set is the index of the set that a client's cluster names, and false if no list has named it.
 func (o *Core) Set(cluster int) (int, bool) {
-	set, ok := o.sets[cluster]
-	return set, ok
+	return o.sets.Find(cluster)
 }
 
+// Open says whether a command of this name is in hand. Another must not be taken then: members would see a
+// second copy of the first.
+func (o *Core) Open(name string) bool { return o.ids[name] }
+
 // Take takes a command; it gets one final answer.
 func (o *Core) Take(c *Command) {
 	o.last++
 	c.id = o.last
 	o.cmds[c.id] = c
+	o.ids[c.Name] = true
 	o.taken = append(o.taken, c)
 	o.count.Taken++
 	o.count.TakenByGroup[c.Group]++
@@ -154,6 +162,9 @@
 // Members is the number of connections to members.
 func (o *Core) Members() int { return o.members.Open() }
 
+// Known is the number of members that have a row, and of rows.
+func (o *Core) Known() (members, rows int) { return o.nodes.Len(), o.members.Hosts() }
+
 // MakeRoom closes an idle connection to a member, if members hold more than their own descriptors.
 func (o *Core) MakeRoom() bool { return o.members.MakeRoom() }
 
@@ -195,6 +206,10 @@
 		for _, node := range keep.Probe {
 			o.members.Probe(node)
 		}
+		for _, node := range keep.Forget {
+			o.members.Forget(node)
+			o.nodes.Free(node)
+		}
 		if keep.Follow {
 			o.watch.Ask()
 		}
@@ -241,13 +256,13 @@
 	}
 	facts := make([]router.Listing, 0, len(l.list.Members))
 	for _, m := range l.list.Members {
-		node := index(o.nodes, m.ID)
+		node := o.nodes.At(m.ID)
 		o.members.Place(node, m.At, m.State == roster.Gone)
 		started := math.Inf(-1)
 		if m.StartedMs > 0 {
 			started = o.clock(float64(m.StartedMs))
 		}
-		facts = append(facts, router.Listing{Node: node, Set: index(o.sets, m.Cell), Zone: index(o.zones, m.Zone),
+		facts = append(facts, router.Listing{Node: node, Set: o.sets.At(m.Cell), Zone: o.zones.At(m.Zone),
 			State: router.NodeState(m.State), Started: started, Primary: m.Primary})
 	}
 	o.router.Listed(now, facts, l.list.Whole || l.cached, l.cached)
@@ -258,28 +273,33 @@
 		Int("members", len(l.list.Members)).Msg("list")
 }
 
-// index gives a name the next small index when it is first met.
-func index[K comparable](known map[K]int, name K) int {
-	i, ok := known[name]
-	if !ok {
-		i = len(known)
-		known[name] = i
+// position turns a member's Unix time in seconds into the module's position, or -1 if it tells none: one that
+// is no number, or lies in the future, would have a member cover reads that it does not.
+func (o *Core) position(unix float64) float64 {
+	if at := unix - o.zeroMs/1000; at >= 0 && o.clock(unix*1000) <= o.loop.Now()+o.ahead {
+		return at
 	}
-	return i
+	o.count.PositionsRefused++
+	return -1
 }
 
-// report reads a report's position, in seconds from the epoch, and role. Negative: not told.
+// report reads a report's position, in seconds from the epoch, and role. Negative: not told. One that cannot
+// be read in every part is no report.
 func (o *Core) report(text string) (position float64, primary bool) {
 	position = -1
+	if text == "" {
+		return position, false
+	}
 	for _, part := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
-			continue
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || name == "x1" && v != 0 && v != 1 {
+			o.count.PositionsRefused++
+			return -1, false
 		}
 		switch name {
 		case "x0":
-			position = v - o.zeroMs/1000
+			position = o.position(v)
 		case "x1":
 			primary = v == 1
 		}
@@ -299,7 +319,7 @@
 	said := router.Outcome{Leg: e.d.Leg, Ending: e.ending, Took: e.took, Over: e.ending == router.Answered,
 		Position: -1, Role: roles[e.answer.Role]}
 	if e.answer.Position > 0 {
-		said.Position = (float64(e.answer.Position) - o.zeroMs) / 1000
+		said.Position = o.position(float64(e.answer.Position) / 1000)
 	}
 	o.hand.Ended(now, e.d.ID, said)
 	if position, primary := o.report(e.answer.Health); position >= 0 && o.told.OnAnswers {
@@ -332,6 +352,7 @@
 	c.done = true
 	c.Text.Free()
 	delete(o.cmds, c.id)
+	delete(o.ids, c.Name)
 }
 
 // carry carries out what came back. What is given up is closed before anything new goes out.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"stoatdale.example/stoatdale/internal/count"
 	"stoatdale.example/stoatdale/internal/loop"
 	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/router"
 	"stoatdale.example/stoatdale/internal/site"
 )
 
@@ -29,21 +30,25 @@
 	count  *count.Counters
 	log    zerolog.Logger
 	groups map[string]int
+	told   *site.Told
 
 	listener int // -1: closed
 	resume   *loop.Timer
 	conns    map[*conn]bool
-	idle     list.List // conns between commands, the longest idle first
-	waiting  []*conn   // not read for want of buffers
-	ending   bool
+	// Conns that may make room, in the order in which they do, and in each list the one that is there for the
+	// longest first: ended ones, those that never asked, those between commands.
+	parting, mute, idle list.List
+	waiting             []*conn // not read for want of buffers
+	more                []*conn // with messages left for the next turn
+	ending              bool
 }
 
 // Listen opens a front on one address.
 func Listen(at netip.AddrPort, l *loop.Loop, limits *site.Limits, blocks *buffer.Pool, o *core.Core,
-	groups []string, c *count.Counters, log zerolog.Logger) (*Front, error) {
+	told *site.Told, c *count.Counters, log zerolog.Logger) (*Front, error) {
 	f := &Front{loop: l, limits: limits, blocks: blocks, core: o, count: c, log: log, groups: map[string]int{},
-		conns: map[*conn]bool{}}
-	for i, name := range groups {
+		told: told, conns: map[*conn]bool{}}
+	for i, name := range told.Names {
 		f.groups[name] = i
 	}
 	f.resume = loop.NewTimer(func() { f.listen(true) })
@@ -72,13 +77,15 @@
 // Ready implements loop.Handler for the listener.
 func (f *Front) Ready(bool, bool) { f.accept(f.limits.Accepts) }
 
-// accept takes connections in. Where descriptors run out the longest idle client makes room; with none
-// idle the listener rests, since it would stay ready and spin the loop.
+// accept takes connections in. Where descriptors run out a client that has nothing in hand makes room; with
+// none the listener rests, since it would stay ready and spin the loop.
 func (f *Front) accept(most int) {
 	for range most {
-		full := len(f.conns) >= f.limits.Clients ||
-			f.loop.Open() >= f.limits.Shared && !f.core.MakeRoom()
-		if full && !f.shed() {
+		many, all := len(f.conns) >= f.limits.Clients, f.loop.Open() >= f.limits.Shared
+		if (many || all) && !loop.Waiting(f.listener) {
+			return
+		}
+		if (many || all && !f.core.MakeRoom()) && !f.shed() {
 			f.rest()
 			return
 		}
@@ -92,7 +99,7 @@
 		if !ok {
 			return
 		}
-		c := &conn{f: f, fd: fd, in: f.blocks.New(), out: f.blocks.New()}
+		c := &conn{f: f, fd: fd, in: f.blocks.New(), out: f.blocks.New(), born: f.loop.Now()}
 		c.timer = loop.NewTimer(c.due)
 		if err := f.loop.Add(fd, c, true, false); err != nil {
 			loop.Discard(fd)
@@ -100,7 +107,6 @@
 		}
 		f.count.Accepted++
 		f.conns[c] = true
-		f.loop.Set(c.timer, f.loop.Now()+f.limits.Stall)
 		c.read()
 	}
 }
@@ -110,11 +116,24 @@
 	f.loop.Set(f.resume, f.loop.Now()+f.limits.Pause)
 }
 
-// shed closes the connection that has been between commands for the longest. One that has sent something
-// that was not read yet is spared.
+// shed makes room by one connection: one that was ended, or has not asked for anything since it came, before one
+// that has been between commands for the longest. Each is spared for some time, and so is one that has sent
+// something that was not read yet.
 func (f *Front) shed() bool {
-	for e := f.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); loop.Quiet(c.fd) {
+	if e := f.parting.Front(); e != nil {
+		e.Value.(*conn).close()
+		return true
+	}
+	return f.shedFrom(&f.mute, f.limits.Pause) || f.shedFrom(&f.idle, f.limits.Spare)
+}
+
+func (f *Front) shedFrom(l *list.List, spare float64) bool {
+	for e := l.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if f.loop.Now()-c.queuedAt < spare {
+			return false
+		}
+		if loop.Quiet(c.fd) {
 			f.count.Shed++
 			c.close()
 			return true
@@ -123,19 +142,27 @@
 	return false
 }
 
-// Refresh reads on where buffers were scarce.
-func (f *Front) Refresh() {
-	if len(f.waiting) == 0 || f.blocks.Scarce() {
-		return
-	}
-	again := f.waiting
-	f.waiting = nil
+// Refresh goes on with messages that were left over, and reads on where buffers were scarce. It says whether
+// messages are left again, so that the loop should not wait.
+func (f *Front) Refresh() bool {
+	again := f.more
+	f.more = nil
 	for _, c := range again {
+		c.left = false
 		if c.state != closed {
-			c.paused = false
 			c.step()
 		}
 	}
+	if len(f.waiting) > 0 && !f.blocks.Scarce() {
+		again, f.waiting = f.waiting, nil
+		for _, c := range again {
+			c.paused = false
+			if c.state != closed {
+				c.step()
+			}
+		}
+	}
+	return len(f.more) > 0
 }
 
 // End stops listening once what waits to be accepted is taken in, and ends connections between commands.
@@ -170,19 +197,40 @@
 	own bool // its answer is whole
 }
 
+// phase is what a connection's time is counted for.
+type phase int
+
+const (
+	unset   phase = iota
+	busy          // only the commands' own time counts
+	asking        // it has not asked for anything yet
+	amid          // it is in the middle of a message
+	taking        // it has an answer to take
+	between       // it has nothing in hand
+	leaving
+)
+
 // conn is one client.
 type conn struct {
-	f       *Front
-	fd      int
-	state   state
-	in, out buffer.Chain
-	slots   []*slot
-	last    bool          // end after the answers that are owed
-	place   *list.Element // among the idle
-	paused  bool
-	held    bool    // not read at present
-	since   float64 // the earliest time at which what was read last may have come
-	timer   *loop.Timer
+	f        *Front
+	fd       int
+	state    state
+	in, out  buffer.Chain
+	slots    []*slot
+	last     bool // end after the answers that are owed
+	asked    bool // a whole query came
+	faults   int  // queries that were no command
+	away     int  // bytes that were read away
+	queue    *list.List
+	place    *list.Element // in the queue of those that may make room
+	queuedAt float64
+	paused   bool
+	left     bool    // has messages left for the next turn
+	held     bool    // not read at present
+	since    float64 // the earliest time at which what was read last may have come
+	born     float64
+	phase    phase
+	timer    *loop.Timer
 }
 
 // Ready implements loop.Handler.
@@ -211,9 +259,12 @@
 	}
 	c.held = false
 	got, err := loop.Read(c.fd, &c.in, most)
-	c.progress(got > 0)
 	if c.state == parting {
 		c.in.Free()
+		if c.away += got; c.away > c.f.limits.Away {
+			c.close()
+			return
+		}
 	}
 	c.step()
 	if err != nil && c.state != closed {
@@ -221,12 +272,19 @@
 	}
 }
 
-// step does what can be done now: takes messages, and sets what is waited for.
+// step does what can be done now: takes messages, so many in a turn that others' turns come, and sets what is
+// waited for.
 func (c *conn) step() {
-	for c.state != parting && c.state != closed && !c.last && !c.full() {
+	for n := 0; c.state != parting && c.state != closed && !c.last && !c.left && !c.full(); n++ {
+		if n == c.f.limits.Messages {
+			c.left = true
+			c.f.more = append(c.f.more, c)
+			break
+		}
 		if more := c.message(); !more {
 			break
 		}
+		c.phase = unset // the next message has its own time
 	}
 	if c.state == closed {
 		return
@@ -243,29 +301,72 @@
 	return len(c.slots) >= c.f.limits.Pipeline || c.out.Len() > c.f.limits.Unsent
 }
 
-// watch sets the descriptor, the timer and the place among the idle by what the connection does.
+// watch sets the descriptor, the timer and the place among those that may make room by what the connection
+// does.
 func (c *conn) watch() {
-	reads := !c.paused && !c.last && !c.full() || c.state == parting
+	reads := !c.paused && !c.left && !c.last && !c.full() || c.state == parting
 	if !reads && !c.held {
 		c.held, c.since = true, c.f.loop.Now()
 	}
 	c.f.loop.Want(c.fd, reads, c.out.Len() > 0)
-	between := (c.state == open || c.state == skipping) && c.in.Len() == 0 && c.out.Len() == 0 && len(c.slots) == 0
-	switch {
-	case between && c.place == nil:
-		c.place = c.f.idle.PushBack(c)
-	case !between && c.place != nil:
-		c.f.idle.Remove(c.place)
-		c.place = nil
-	}
-	// In the middle of a message or an answer a client may not stay for long.
-	stuck := c.in.Len() > 0 || c.out.Len() > 0 || c.state == starting
+	c.enter(c.doing())
+}
+
+// doing is the phase that the connection is in.
+func (c *conn) doing() phase {
 	switch {
 	case c.state == parting:
-	case stuck && !c.timer.IsSet():
-		c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Stall)
-	case !stuck:
-		c.f.loop.Unset(c.timer)
+		return leaving
+	case c.out.Len() > 0:
+		return taking
+	case len(c.slots) > 0 || c.left || c.last:
+		return busy
+	case !c.asked:
+		return asking
+	case c.in.Len() > 0:
+		return amid
+	}
+	return between
+}
+
+// enter begins a phase: each has its time and its place among those that may make room. What comes meanwhile
+// renews no time, or a client that drips its bytes would stay for good; only answers may be taken slowly.
+func (c *conn) enter(p phase) {
+	if p == c.phase {
+		return
+	}
+	c.phase = p
+	l, now := c.f.limits, c.f.loop.Now()
+	var queue *list.List
+	until := math.Inf(1)
+	switch p {
+	case asking:
+		queue, until = &c.f.mute, c.born+l.First
+	case amid:
+		until = now + l.Whole
+	case taking:
+		until = now + l.Stall
+	case between:
+		queue, until = &c.f.idle, now+l.Quiet
+	case leaving:
+		queue, until = &c.f.parting, now+l.Farewell
+	}
+	if queue != c.queue || queue == &c.f.idle {
+		c.unqueue()
+		if queue != nil {
+			c.queue, c.place, c.queuedAt = queue, queue.PushBack(c), now
+		}
+	}
+	c.f.loop.Unset(c.timer)
+	if !math.IsInf(until, 1) {
+		c.f.loop.Set(c.timer, until)
+	}
+}
+
+func (c *conn) unqueue() {
+	if c.queue != nil {
+		c.queue.Remove(c.place)
+		c.queue, c.place = nil, nil
 	}
 }
 
@@ -278,16 +379,28 @@
 	}
 }
 
-// progress starts a stalling client's time anew.
-func (c *conn) progress(made bool) {
-	if made && c.state != parting && c.timer.IsSet() {
-		c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Stall)
+// due ends a client whose time is over: with an error if it began a message and has not finished it.
+func (c *conn) due() {
+	switch {
+	case (c.phase == asking || c.phase == amid) && c.in.Len() > 0:
+		c.f.count.CutShort++
+		c.fatal(pg.CodeProtocol, "a message was not whole in time")
+		c.step()
+	case (c.phase == asking || c.phase == between) && !loop.Quiet(c.fd): // it is asking just now
+		c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Pause)
+	default:
+		switch c.phase {
+		case asking:
+			c.f.count.NeverAsked++
+		case between:
+			c.f.count.LongIdle++
+		case taking:
+			c.f.count.Stalled++
+		}
+		c.close()
 	}
 }
 
-// due ends a client that stalls.
-func (c *conn) due() { c.close() }
-
 // message takes one message off the input, and says whether there may be another.
 func (c *conn) message() bool {
 	if c.state == starting {
@@ -310,7 +423,6 @@
 	}
 	switch {
 	case kind == 'X':
-		c.in.Skip(size)
 		c.close()
 		return false
 	case c.state == skipping && kind != 'S' && kind != 'Q':
@@ -354,7 +466,6 @@
 		return false
 	}
 	c.state = open
-	c.f.loop.Unset(c.timer)
 	c.say(pg.Welcome(nil))
 	return true
 }
@@ -367,6 +478,7 @@
 		c.bad(pg.CodeSyntax, err.Error())
 		return
 	}
+	c.asked = true
 	if st.Empty {
 		c.say(pg.Ready(pg.Empty(nil)))
 		return
@@ -381,7 +493,18 @@
 		c.bad(pg.CodeValue, fmt.Sprintf("cluster=%d: unknown cluster", st.Cluster))
 		return
 	}
-	cmd := &core.Command{Group: group, Set: set, Session: st.Session, Repeat: st.Repeat,
+	switch {
+	case st.Wait > c.f.limits.Wait:
+		c.bad(pg.CodeValue, fmt.Sprintf("d=%.0f: longer than any client waits", st.Wait*1000))
+		return
+	case c.f.told.Groups[group].Effect == router.Keyed && !st.Keyed:
+		c.bad(pg.CodeValue, fmt.Sprintf("c=%.40q: commands of this group bear a key, k", st.Group))
+		return
+	case c.f.core.Open(st.ID):
+		c.bad(pg.CodeValue, fmt.Sprintf("id=%s: a command of this id is in hand", st.ID))
+		return
+	}
+	cmd := &core.Command{Name: st.ID, Group: group, Set: set, Session: st.Session, Repeat: st.Repeat,
 		GiveUp: c.since + st.Wait - c.f.limits.Way, Text: c.f.blocks.New(), From: st.From, To: st.To, Front: c.f}
 	if st.WriteAt > 0 {
 		cmd.WriteAge = math.Max(0, c.f.core.Age(st.WriteAt))
@@ -399,8 +522,13 @@
 	s *slot
 }
 
-// bad answers a query that is no command.
+// bad answers a query that is no command. After some the connection is ended: a client that repeats what was
+// turned away as soon as it hears so would keep the router busy.
 func (c *conn) bad(code, message string) {
+	if c.faults++; c.faults >= c.f.limits.Faults {
+		c.fatal(code, message)
+		return
+	}
 	c.f.count.BadInput++
 	c.say(pg.Ready(pg.Error(nil, false, code, message, "")))
 }
@@ -432,7 +560,9 @@
 		c.close()
 		return
 	}
-	c.progress(c.out.Len() < owed)
+	if c.phase == taking && c.out.Len() < owed { // an answer may be taken slowly, but it must be taken
+		c.phase = unset
+	}
 }
 
 // answer completes a command's slot and writes what is in order by now.
@@ -483,12 +613,11 @@
 }
 
 // part ends the connection between commands: closing on unread bytes would reset an answer just written,
-// so the client is left to close.
+// so the client is left to close, and what it still sends is read away for a while.
 func (c *conn) part() {
 	c.state = parting
 	c.in.Free()
 	loop.EndSending(c.fd)
-	c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Farewell)
 }
 
 // close ends the connection; the commands in hand have lost their client.
@@ -497,10 +626,7 @@
 		return
 	}
 	c.state = closed
-	if c.place != nil {
-		c.f.idle.Remove(c.place)
-		c.place = nil
-	}
+	c.unqueue()
 	delete(c.f.conns, c)
 	c.f.loop.Unset(c.timer)
 	c.f.loop.Close(c.fd)
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -59,6 +59,13 @@
 	return netip.AddrPort{}, errors.New("asking for the address: unknown family")
 }
 
+// Waiting says that a connection waits to be accepted.
+func Waiting(listener int) bool {
+	ready := []unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}
+	n, err := unix.Poll(ready, 0)
+	return n == 1 && err == nil
+}
+
 // Accept takes one connection; false: none waits. An error is a lack of descriptors or memory.
 func Accept(listener int) (fd int, ok bool, err error) {
 	for {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -58,6 +58,16 @@
 // Open is the number of connections.
 func (m *Members) Open() int { return m.open }
 
+// Hosts is the number of rows, those that were forgotten included.
+func (m *Members) Hosts() int { return len(m.hosts) }
+
+// Forget empties a member's row, which another member may get: connections that are still busy end with what
+// they carry.
+func (m *Members) Forget(node int) {
+	m.hosts[node].hangUp()
+	m.hosts[node] = host{}
+}
+
 // Place sets a member's address. Connections to an earlier one take nothing new; none are kept to a
 // member that is gone.
 func (m *Members) Place(node int, at netip.AddrPort, gone bool) {
@@ -144,17 +154,21 @@
 // Unsent says that a dispatch's last byte has not been written.
 func (d *Dispatch) Unsent() bool { return d.conn != nil && d.conn.state != waiting }
 
-// take finds the standing connection that was used last, or dials. Those that have ended are dropped
-// first, since what is written to them may count as run.
+// take finds the standing connection that was used last and has rested, or dials. Those that have ended or hold
+// bytes that nobody asked for are dropped, since what is written to them may count as run, or be answered with
+// what belongs to the command before. Either may be on its way when an answer has just come: hence the rest.
 func (m *Members) take(node int) *conn {
-	h := &m.hosts[node]
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
+	h, now := &m.hosts[node], m.loop.Now()
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		if now-c.since < m.limits.Rest {
+			continue
+		}
 		if loop.Quiet(c.fd) {
-			h.idle = h.idle[:len(h.idle)-1]
+			h.idle = append(h.idle[:i], h.idle[i+1:]...)
 			return c
 		}
-		c.close()
+		c.unasked()
 	}
 	return m.dial(node)
 }
@@ -254,7 +268,7 @@
 		c.out.Write(pg.Hello(nil))
 	}
 	if c.state == idle { // an idle member says nothing but that it ends the connection
-		c.close()
+		c.unasked()
 		return
 	}
 	if writable && c.out.Len() > 0 {
@@ -270,6 +284,7 @@
 	done, bad := c.answer.Take(&c.in, c.m.limits.Answer, c.m.limits.Note)
 	switch {
 	case bad != nil:
+		c.m.count.Spoilt++
 		c.end(router.Errored)
 	case done:
 		c.answered(err != nil)
@@ -278,6 +293,12 @@
 	}
 }
 
+// unasked closes an idle connection that has ended or brings what belongs to no command.
+func (c *conn) unasked() {
+	c.m.count.Unasked++
+	c.close()
+}
+
 // answered takes a whole answer in.
 func (c *conn) answered(ended bool) {
 	now, a := c.m.loop.Now(), c.answer
@@ -324,9 +345,9 @@
 	switch {
 	case a.Served():
 		return router.Answered
-	case a.Code == pg.CodeFull:
+	case a.Refused(pg.CodeFull):
 		return router.Full
-	case a.Code == pg.CodeNotPrimary, a.Code == pg.CodeBehind:
+	case a.Refused(pg.CodeNotPrimary), a.Refused(pg.CodeBehind):
 		return router.Missed
 	}
 	return router.Errored
@@ -366,8 +387,8 @@
 	d, probe, now := c.dispatch, c.probe, c.m.loop.Now()
 	c.dispatch, c.probe = nil, false
 	c.close()
-	if probe {
-		c.probed(false, now-c.since, "")
+	if probe { // a member that spoils its report has been reached all the same
+		c.probed(e == router.Errored, now-c.since, "")
 	}
 	if d != nil {
 		d.conn = nil
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -149,7 +149,7 @@
 }
 
 func answer(value string) []byte {
-	a := pg.Message(nil, 'T', []byte("\x00\x01"))
+	a := pg.Message(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
 	a = pg.Message(a, 'D', []byte{0, 1, 0, 0, 0, byte(len(value))}, []byte(value))
 	return pg.Ready(pg.Message(a, 'C', []byte("x\x00")))
 }
--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -19,19 +19,22 @@
 	Role     string       // as told: off from a primary, on from a replica
 	Health   string       // a report told beside the answer
 	described, rows, completed,
-	valueAt, value int // where the one value stands in the row, and its length; 0: none, or longer than a note
+	valueAt, value int // where the one value stands in the row, and its length
 	whole bool
 }
 
 // ErrShape says that an answer is not one row in order, or an error.
 var ErrShape = errors.New("malformed answer")
 
+// Refused says that the member turned the query away with a code before any part of a row.
+func (a *Answer) Refused(code string) bool { return a.whole && a.Code == code && a.described == 0 }
+
 // Served says that the answer holds a row and nothing else.
 func (a *Answer) Served() bool { return a.whole && a.Code == "" && a.oneRow() }
 
 func (a *Answer) oneRow() bool { return a.described == 1 && a.rows == 1 && a.completed == 1 }
 
-// Report is the one value of the row, if it is no longer than a note: what a probe is answered with.
+// Report is the one value of the row: what a probe is answered with.
 func (a *Answer) Report() string {
 	b := make([]byte, 0, a.value)
 	a.Row.Each(a.valueAt, a.value, func(p []byte) { b = append(b, p...) })
@@ -39,14 +42,21 @@
 }
 
 // Take takes whole messages of most bytes at the most off a chain. Those that are looked into are notes, and
-// shorter; rows are passed on unseen. done says that the answer is at its end.
+// shorter; rows are passed on unseen. done says that the answer is at its end. What cannot be part of an answer
+// is an error as soon as its head tells, whatever length it promises.
 func (a *Answer) Take(in *buffer.Chain, most, note int) (done bool, err error) {
-	for {
+	for in.Len() > 0 {
+		if err := a.expect(in.First()[0]); err != nil {
+			return false, err
+		}
 		kind, size, ok, err := Next(in, most)
-		if err != nil || !ok {
+		if err != nil || size == 0 {
 			return false, err
 		}
-		done, err := a.message(in, kind, size, note)
+		if err := a.fits(in, kind, size, note); err != nil || !ok {
+			return false, err
+		}
+		done, err := a.message(in, kind, size)
 		if err != nil {
 			return false, err
 		}
@@ -56,69 +66,101 @@
 			return true, nil
 		}
 	}
+	return false, nil
 }
 
-func (a *Answer) message(in *buffer.Chain, kind byte, size, most int) (done bool, err error) {
+// expect says whether a kind of message may come next: the parts of the row come in one order, and nothing of
+// it after an error.
+func (a *Answer) expect(kind byte) error {
+	ok := false
 	switch kind {
-	case 'T', 'D', 'C':
-		return false, a.part(in, kind, size, most)
-	case 'N', 'A', 'K':
-		return false, nil
-	case 'R', 'S', 'E', 'Z', 'I':
-	default:
-		return false, fmt.Errorf("%w: a message %q", ErrShape, kind)
+	case 'T':
+		ok = a.described == 0 && a.Code == ""
+	case 'D':
+		ok = a.described == 1 && a.rows == 0 && a.Code == ""
+	case 'C':
+		ok = a.rows == 1 && a.completed == 0 && a.Code == ""
+	case 'R', 'S', 'E', 'Z', 'I', 'N', 'A', 'K':
+		ok = true
 	}
-	if size > most {
-		return false, fmt.Errorf("%w: %d bytes in a message %q", ErrShape, size, kind)
+	if !ok {
+		return fmt.Errorf("%w: a message %q out of place", ErrShape, kind)
 	}
-	note := make([]byte, size)
-	in.Peek(note)
-	note = note[headLen:]
+	return nil
+}
+
+// rowHead is a DataRow's head: kind, length, the number of columns, the length of the one.
+const rowHead = headLen + 6
+
+// fits checks a message's length as soon as its head is there.
+func (a *Answer) fits(in *buffer.Chain, kind byte, size, note int) error {
+	ok := true
 	switch kind {
-	case 'R':
-		if len(note) < 4 || binary.BigEndian.Uint32(note) != 0 {
-			return false, fmt.Errorf("%w: a password is asked for", ErrShape)
-		}
-	case 'S':
-		a.status(note)
-	case 'E':
-		a.fail(note)
-		return a.Fatal, nil
+	case 'R', 'S', 'E', 'T', 'C':
+		ok = size <= note
 	case 'Z':
-		if a.described+a.rows+a.completed > 0 && a.Code == "" && !a.oneRow() {
-			return false, fmt.Errorf("%w: %d rows", ErrShape, a.rows)
+		ok = size == headLen+1
+	case 'I':
+		ok = size == headLen
+	case 'D':
+		var head [rowHead]byte
+		if ok = size >= len(head); ok && in.Peek(head[:]) == len(head) {
+			value := int(int32(binary.BigEndian.Uint32(head[headLen+2:])))
+			ok = binary.BigEndian.Uint16(head[headLen:]) == 1 && (value == size-len(head) || value == -1 && size == len(head))
 		}
-		return true, nil
 	}
-	return false, nil
+	if !ok {
+		return fmt.Errorf("%w: %d bytes in a message %q", ErrShape, size, kind)
+	}
+	return nil
 }
 
-// part keeps a part of the row; they come in one order, and the row has one column.
-func (a *Answer) part(in *buffer.Chain, kind byte, size, most int) error {
-	ok := false
+func (a *Answer) message(in *buffer.Chain, kind byte, size int) (done bool, err error) {
 	switch kind {
-	case 'T':
-		a.described++
-		ok = a.described == 1 && a.rows == 0 && a.completed == 0
+	case 'N', 'A', 'K', 'I':
+		return false, nil
 	case 'D':
 		a.rows++
-		var head [headLen + 6]byte
-		got := in.Peek(head[:])
-		value := int(int32(binary.BigEndian.Uint32(head[headLen+2:])))
-		ok = a.described == 1 && a.rows == 1 && a.completed == 0 && got == len(head) && size >= len(head) &&
-			binary.BigEndian.Uint16(head[headLen:]) == 1 && (value == size-len(head) || value == -1)
-		if ok && value >= 0 && value <= most {
-			a.valueAt, a.value = a.Row.Len()+len(head), value
-		}
+		a.valueAt, a.value = a.Row.Len()+rowHead, size-rowHead
+		in.CopyTo(&a.Row, 0, size)
+		return false, nil
+	}
+	note := make([]byte, size)
+	in.Peek(note)
+	note = note[headLen:]
+	ok := true
+	switch kind {
+	case 'T':
+		a.described++
+		ok = oneColumn(note)
+		in.CopyTo(&a.Row, 0, size)
 	case 'C':
 		a.completed++
-		ok = a.rows == 1 && a.completed == 1
+		ok = len(note) > 1 && bytes.IndexByte(note, 0) == len(note)-1
+		in.CopyTo(&a.Row, 0, size)
+	case 'R':
+		ok = len(note) >= 4 && binary.BigEndian.Uint32(note) == 0 // no password is asked for
+	case 'S':
+		a.status(note)
+	case 'E':
+		ok = a.fail(note)
+		done = ok && a.Fatal
+	case 'Z':
+		ok = bytes.IndexByte([]byte("ITE"), note[0]) >= 0 &&
+			(a.described+a.rows+a.completed == 0 || a.Code != "" || a.oneRow())
+		done = true
 	}
-	if !ok || a.Code != "" {
-		return fmt.Errorf("%w: a message %q out of place", ErrShape, kind)
+	if !ok {
+		return false, fmt.Errorf("%w: in a message %q", ErrShape, kind)
 	}
-	in.CopyTo(&a.Row, 0, size)
-	return nil
+	return done, nil
+}
+
+// oneColumn says whether a RowDescription describes one column.
+func oneColumn(note []byte) bool {
+	const count, rest = 2, 18 // bytes before the name and behind its final zero
+	return len(note) > count && binary.BigEndian.Uint16(note) == 1 &&
+		bytes.IndexByte(note[count:], 0) == len(note)-count-1-rest
 }
 
 func (a *Answer) status(note []byte) {
@@ -139,11 +181,12 @@
 	}
 }
 
-func (a *Answer) fail(note []byte) {
-	a.Code = "?"
-	for _, field := range bytes.Split(note, zero) {
-		if len(field) < 2 {
-			continue
+// fail reads an error, and says whether it is one: fields that end with a zero, a code among them.
+func (a *Answer) fail(note []byte) bool {
+	for len(note) > 1 {
+		field, rest, ended := bytes.Cut(note, zero)
+		if !ended || len(field) == 0 {
+			return false
 		}
 		switch value := string(field[1:]); field[0] {
 		case 'C':
@@ -151,5 +194,10 @@
 		case 'S', 'V':
 			a.Fatal = a.Fatal || value == "FATAL" || value == "PANIC"
 		}
+		note = rest
 	}
+	return len(note) == 1 && note[0] == 0 && len(a.Code) == codeLen
 }
+
+// codeLen is the length of an error's code.
+const codeLen = 5
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -105,18 +105,29 @@
 
 func TestMalformedAnswers(t *testing.T) {
 	one := row("v")
+	head := Message(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
 	for what, b := range map[string][]byte{
-		"two rows":          append(append([]byte{}, one...), one...),
-		"no row":            Ready(Message(Message(nil, 'T', []byte("\x00\x01")), 'C', []byte("x\x00"))),
-		"row before head":   Message(nil, 'D', []byte{0, 1, 0, 0, 0, 0}),
-		"two columns":       Message(Message(nil, 'T', nil), 'D', []byte{0, 2, 0, 0, 0, 0, 0, 0, 0, 0}),
-		"false length":      Message(Message(nil, 'T', nil), 'D', []byte{0, 1, 0, 0, 0, 9, 1}),
-		"unfinished":        Ready(Message(Message(nil, 'T', nil), 'D', []byte{0, 1, 0, 0, 0, 0})),
-		"unknown message":   Message(nil, 'q'),
-		"row after error":   append(Error(nil, false, "XX000", "", ""), one...),
-		"password":          Message(nil, 'R', []byte{0, 0, 0, 3}),
-		"too long":          append([]byte{'D'}, 0, 1, 0, 0),
-		"very long setting": Status(nil, "x", strings.Repeat("y", 1024)),
+		"two rows":           append(append([]byte{}, one...), one...),
+		"no row":             Ready(Message(head, 'C', []byte("x\x00"))),
+		"row before head":    Message(nil, 'D', []byte{0, 1, 0, 0, 0, 0}),
+		"two columns":        Message(head, 'D', []byte{0, 2, 0, 0, 0, 0, 0, 0, 0, 0}),
+		"false length":       Message(head, 'D', []byte{0, 1, 0, 0, 0, 9, 1}),
+		"unfinished":         Ready(Message(head, 'D', []byte{0, 1, 0, 0, 0, 0})),
+		"unknown message":    Message(nil, 'q'),
+		"promised 3 GB":      {'D', 0xb2, 0xd0, 0x5e, 0x00},
+		"value does not fit": append(append([]byte{}, head...), 'D', 0, 0, 0x20, 0, 0, 1, 0x7f, 0, 0, 0),
+		"noise":              []byte("~"),
+		"head that is none":  Message(nil, 'T', []byte("\x00\x01noise")),
+		"two heads":          append(append([]byte{}, head...), 'T'),
+		"tag without an end": Message(Message(head, 'D', []byte{0, 1, 0, 0, 0, 0}), 'C', []byte("SELECT")),
+		"ready for what":     Message(nil, 'Z', []byte{'?'}),
+		"long ready":         append([]byte{'Z'}, 0, 0, 0, 200),
+		"error of noise":     Message(nil, 'E', []byte("~~~~")),
+		"error without code": Message(nil, 'E', []byte("Mx\x00\x00")),
+		"row after error":    append(Error(nil, false, "XX000", "", ""), one...),
+		"password":           Message(nil, 'R', []byte{0, 0, 0, 3}),
+		"too long":           append([]byte{'D'}, 0, 1, 0, 0),
+		"very long setting":  Status(nil, "x", strings.Repeat("y", 1024)),
 	} {
 		a := Answer{Row: *chain(nil)}
 		_, err := a.Take(chain(b), 60000, 1024)
@@ -149,7 +160,7 @@
 	assert.NotZero(t, s.Session)
 
 	w, err := parse(`INSERT INTO items (id, doc) VALUES ('7f3a9c21e0b4d655', '\x9f03') RETURNING doc ` +
-		"/* c=order , d=7,k=5c0f,cluster=2*/ ; ")
+		"/* id=02,c=order , d=7,k=5c0f,cluster=2*/ ; ")
 	require.NoError(t, err)
 	assert.Equal(t, s.Session, w.Session, "the first quoted value names the session")
 	assert.False(t, w.Repeat)
@@ -160,13 +171,13 @@
 
 func TestQuotesAndCommentsHideWhatIsInThem(t *testing.T) {
 	for _, text := range []string{
-		"SELECT ';' /*c=a,d=5,cluster=1*/",
-		"SELECT 'it''s; /* no */' /*c=a,d=5,cluster=1*/",
-		`SELECT "a;b" /*c=a,d=5,cluster=1*/`,
-		`SELECT E'\'; \\' /*c=a,d=5,cluster=1*/`,
-		"SELECT 1 -- ; '\n /*c=a,d=5,cluster=1*/",
-		"SELECT 1 /* /* x */ ; */ /*c=a,d=5,cluster=1*/ -- bye",
-		"SELECT 4/2-1 /*c=a,d=5,cluster=1*/;",
+		"SELECT ';' /*id=1,c=a,d=5,cluster=1*/",
+		"SELECT 'it''s; /* no */' /*id=1,c=a,d=5,cluster=1*/",
+		`SELECT "a;b" /*id=1,c=a,d=5,cluster=1*/`,
+		`SELECT E'\'; \\' /*id=1,c=a,d=5,cluster=1*/`,
+		"SELECT 1 -- ; '\n /*id=1,c=a,d=5,cluster=1*/",
+		"SELECT 1 /* /* x */ ; */ /*id=1,c=a,d=5,cluster=1*/ -- bye",
+		"SELECT 4/2-1 /*id=1,c=a,d=5,cluster=1*/;",
 	} {
 		s, err := parse(text)
 		if assert.NoError(t, err, text) {
@@ -184,19 +195,24 @@
 func TestBadStatementsSayWhatIsWrong(t *testing.T) {
 	for text, says := range map[string]string{
 		"SELECT 1":                                       "comment",
-		"SELECT 1 /*d=5,cluster=1*/":                     "c, the command group",
-		"SELECT 1 /*c=a,cluster=1*/":                     "d, the time",
-		"SELECT 1 /*c=a,d=5*/":                           "cluster is missing",
-		"SELECT 1 /*c=a,d=soon,cluster=1*/":              "d=",
-		"SELECT 1 /*c=a,d=-5,cluster=1*/":                "d=",
-		"SELECT 1 /*c=a,d=0,cluster=1*/":                 "d=",
-		"SELECT 1 /*c=a,d=99999999999,cluster=1*/":       "d=",
-		"SELECT 1 /*c=a,d=5,d=6,cluster=1*/":             "twice",
-		"SELECT 1 /*c=a,d=5,cluster=x*/":                 "cluster=",
-		"SELECT 1 /*c=a,d=5,cluster=1,after=then*/":      "after=",
-		"SELECT 1; SELECT 2 /*c=a,d=5,cluster=1*/":       "two statements",
-		"SELECT 'x /*c=a,d=5,cluster=1*/":                "not closed",
-		"SELECT 1 /*c=a,d=5,cluster=1":                   "not closed",
+		"SELECT 1 /*id=1,d=5,cluster=1*/":                "c, the command group",
+		"SELECT 1 /*id=1,c=a,cluster=1*/":                "d, the time",
+		"SELECT 1 /*c=a,d=5,cluster=1*/":                 "id is missing",
+		"SELECT 1 /*id=,c=a,d=5,cluster=1*/":             "id=",
+		"SELECT 1 /*id=no!,c=a,d=5,cluster=1*/":          "id=",
+		"SELECT 1 /*id=1,k=no!,c=a,d=5,cluster=1*/":      "k=",
+		"SELECT 1 /*id=1,c=a,d=inf,cluster=1*/":          "d=",
+		"SELECT 1 /*id=1,c=a,d=5*/":                      "cluster is missing",
+		"SELECT 1 /*id=1,c=a,d=soon,cluster=1*/":         "d=",
+		"SELECT 1 /*id=1,c=a,d=-5,cluster=1*/":           "d=",
+		"SELECT 1 /*id=1,c=a,d=0,cluster=1*/":            "d=",
+		"SELECT 1 /*id=1,c=a,d=99999999999,cluster=1*/":  "d=",
+		"SELECT 1 /*id=1,c=a,d=5,d=6,cluster=1*/":        "twice",
+		"SELECT 1 /*id=1,c=a,d=5,cluster=x*/":            "cluster=",
+		"SELECT 1 /*id=1,c=a,d=5,cluster=1,after=then*/": "after=",
+		"SELECT 1; SELECT 2 /*id=1,c=a,d=5,cluster=1*/":  "two statements",
+		"SELECT 'x /*id=1,c=a,d=5,cluster=1*/":           "not closed",
+		"SELECT 1 /*id=1,c=a,d=5,cluster=1":              "not closed",
 		"SELECT 1 /*" + strings.Repeat("x", 2000) + "*/": "longer",
 	} {
 		_, err := parse(text)
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -12,6 +12,8 @@
 // Statement is what the router reads off a client's query. All else in it is passed on unseen.
 type Statement struct {
 	Empty      bool
+	ID         string
+	Keyed      bool // it bears a key by which a repeat is known
 	Group      string
 	Cluster    int
 	Wait       float64 // seconds from the client's send for which it waits
@@ -183,6 +185,8 @@
 		comment = rest
 	}
 	switch {
+	case st.ID == "":
+		return errors.New("id is missing")
 	case !st.hasGroup:
 		return errors.New("c, the command group, is missing")
 	case !st.hasWait:
@@ -198,6 +202,16 @@
 	var n int64
 	var err error
 	switch name {
+	case "id":
+		seen, st.ID = st.ID != "", value
+		if !hexadecimal(value) {
+			err = errors.New("it must be hexadecimal, and not longer than 32 digits")
+		}
+	case "k":
+		st.Keyed = true
+		if !hexadecimal(value) {
+			err = errors.New("it must be hexadecimal, and not longer than 32 digits")
+		}
 	case "c":
 		seen, st.hasGroup, st.Group = st.hasGroup, true, value
 	case "r":
@@ -224,3 +238,14 @@
 	}
 	return nil
 }
+
+// hexadecimal says whether a value can be an id: some digits, and no more than the longest ids in use have.
+func hexadecimal(value string) bool {
+	const most = 32
+	for _, c := range []byte(value) {
+		if c < '0' || c > '9' && c < 'A' || c > 'F' && c < 'a' || c > 'f' {
+			return false
+		}
+	}
+	return value != "" && len(value) <= most
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,43 +14,43 @@
 
 // Tuned values: shares and multiples of what the site states or the router sees.
 const (
-	spillShare   = 0.2     // of this router's reads in the last second may go to the primary
-	spillSlots   = 10      // in which that second is counted
-	catchUp      = 0.1     // seconds that a read waits for a replica
-	holdShare    = 0.5     // of its client's time after which a command that was never sent is given up
-	pollShare    = 0.05    // of catchUp between two looks at a waiting command
-	crowdSlack   = 0.1     // of the response target by which a member may be slower than the best
-	lowCut       = 0.4     // of the queueing room that the least beneficial group has
-	roomShare    = 0.4     // of the tightest bearable queueing time; the rest waits at the router
-	blindShare   = 0.3     // more of it where targets bring fewer dispatches than
-	blindUnder   = 0.5     // this to a member: nothing is seen of its queue then
-	leaveShare   = 0.1     // of a group's clients leave before their time: then only their stay counts
-	overCut      = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
-	shareDepth   = 4       // commands of a customer that may come at once within its share at one router
-	memorySpan   = 4       // longest response targets over which a node's pace fades; its health does in one,
-	evidence     = 2       // or in the time of so many dispatches to it, where these are rare
-	quietAlone   = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
-	lostAfter    = 5.0     // foretold answer times after which an answer that others overtook is lost
-	mostRuns     = 2       // dispatches without an answer, after which a command is itself at fault
-	mostStretch  = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
-	failMargin   = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
-	trialShare   = 0.05    // of this router's commands may be trials of doubted nodes
-	lastResort   = 0.25    // of the longest target after a failure until a doubted node is better than none
-	priorWeight  = 2.0     // answers' worth of the fleet's mean in a node's own mean
-	groupWeight  = 0.05    // of one answer in the fleet's means
-	dialWeight   = 0.2     // of one failed connection in what a new one costs
-	freeOut      = 2       // dispatches out at a node that need no room: its pace must show at some load,
-	freeOver     = 3       // as long as as many routers do not add up to more than this
-	workBatch    = 8.0     // answers whose mean stands for a command group's work if it is the least yet
-	workSpan     = 25      // longest targets in which it follows batches that are above it
-	coldMargin   = 0.5     // of the overload factor: what a cold node gets over its share of a warm one's rate
-	coldBurst    = 0.25    // of the fall span whose budget is given out at once
-	sessionCap   = 1 << 16 // sessions remembered before the older half is let go
-	sessionSpans = 8       // longest client timeouts after which they are let go as well
-	probeShare   = 0.25    // probes a command for positions, and as many for signs of life, unasked
-	askShare     = 0.0625  // of the asking rule's span before a failed list call is repeated
-	testShare    = 0.25    // of the longest target between two role tests of one member, of few routers
-	roundOff     = 1.0 / (1 << 23)
+	spillShare  = 0.2     // of this router's reads in the last second may go to the primary
+	spillSlots  = 10      // in which that second is counted
+	catchUp     = 0.1     // seconds that a read waits for a replica
+	holdShare   = 0.5     // of its client's time after which a command that was never sent is given up
+	pollShare   = 0.05    // of catchUp between two looks at a waiting command
+	crowdSlack  = 0.1     // of the response target by which a member may be slower than the best
+	lowCut      = 0.4     // of the queueing room that the least beneficial group has
+	roomShare   = 0.4     // of the tightest bearable queueing time; the rest waits at the router
+	blindShare  = 0.3     // more of it where targets bring fewer dispatches than
+	blindUnder  = 0.5     // this to a member: nothing is seen of its queue then
+	leaveShare  = 0.1     // of a group's clients leave before their time: then only their stay counts
+	overCut     = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
+	shareDepth  = 4       // commands of a customer that may come at once within its share at one router
+	memorySpan  = 4       // longest response targets over which a node's pace fades; its health does in one,
+	evidence    = 2       // or in the time of so many dispatches to it, where these are rare
+	quietAlone  = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
+	lostAfter   = 5.0     // foretold answer times after which an answer that others overtook is lost
+	mostRuns    = 2       // dispatches without an answer, after which a command is itself at fault
+	mostStretch = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
+	failMargin  = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
+	trialShare  = 0.05    // of this router's commands may be trials of doubted nodes
+	lastResort  = 0.25    // of the longest target after a failure until a doubted node is better than none
+	priorWeight = 2.0     // answers' worth of the fleet's mean in a node's own mean
+	groupWeight = 0.05    // of one answer in the fleet's means
+	dialWeight  = 0.2     // of one failed connection in what a new one costs
+	freeOut     = 2       // dispatches out at a node that need no room: its pace must show at some load,
+	freeOver    = 3       // as long as as many routers do not add up to more than this
+	workBatch   = 8.0     // answers whose mean stands for a command group's work if it is the least yet
+	workSpan    = 25      // longest targets in which it follows batches that are above it
+	coldMargin  = 0.5     // of the overload factor: what a cold node gets over its share of a warm one's rate
+	coldBurst   = 0.25    // of the fall span whose budget is given out at once
+	sessionCap  = 1 << 16 // sessions remembered before the older half is let go
+	keepSpans   = 8       // longest client timeouts after which they, and members that are gone, are let go
+	probeShare  = 0.25    // probes a command for positions, and as many for signs of life, unasked
+	askShare    = 0.0625  // of the asking rule's span before a failed list call is repeated
+	testShare   = 0.25    // of the longest target between two role tests of one member, of few routers
+	roundOff    = 1.0 / (1 << 23)
 )
 
 // group is a command group's row.
@@ -68,28 +68,34 @@
 
 // node is what this router knows of a member.
 type node struct {
-	set, zone                   int
-	listed, drains, listPrimary bool
-	started                     float64
-	heardAt, pos                float64 // last sign with a position, and the highest position told
-	lag                         float64 // how far behind it was then
-	role                        Role    // by its own word
-	roleAt                      float64
-	out                         int
-	idle                        int     // connections that should stand open without a dispatch
-	unheard                     int     // dispatches since its last answer
-	since                       float64 // when the first of those was sent
-	fadedAt                     float64
-	lat, places, done           float64 // fading sums over answers: time, places in its queue, number
-	bad, all                    float64 // fading sums: failures, outcomes
-	sent                        float64 // fading number of dispatches
-	lastGood                    float64
-	trialAt, testAt             float64
-	probedAt                    float64
-	budget, budgetAt            float64 // dispatches that a cold node may still get
-	shunned                     bool    // was doubted, and has not answered since
-	downAt, lostAt              float64 // first and latest failed contact since its last answer; +Inf: none
-}
+	set, zone           int
+	drains, listPrimary bool
+	started             float64
+	heardAt, pos        float64 // last sign with a position, and the highest position told
+	lag                 float64 // how far behind it was then
+	role                Role    // by its own word
+	roleAt              float64
+	goneAt              float64 // when the list dropped it; +Inf: it did not
+	out, legs           int     // dispatches in its foretold queue, and all that are out
+	idle                int     // connections that should stand open without a dispatch
+	unheard             int     // dispatches since its last answer
+	since               float64 // when the first of those was sent
+	fadedAt             float64
+	lat, places, done   float64 // fading sums over answers: time, places in its queue, number
+	bad, all            float64 // fading sums: failures, outcomes
+	sent                float64 // fading number of dispatches
+	lastGood            float64
+	trialAt, testAt     float64
+	probedAt            float64
+	budget, budgetAt    float64 // dispatches that a cold node may still get
+	shunned             bool    // was doubted, and has not answered since
+	downAt, lostAt      float64 // first and latest failed contact since its last answer; +Inf: none
+}
+
+// blank is a node of which nothing is known, a reused row too.
+var blank = node{set: -1, goneAt: math.Inf(1), pos: math.Inf(-1), heardAt: math.Inf(-1), lag: math.Inf(1),
+	roleAt: math.Inf(-1), lastGood: math.Inf(-1), started: math.Inf(-1), downAt: math.Inf(1),
+	probedAt: math.Inf(-1), testAt: math.Inf(-1)}
 
 // set is the nodes that hold the same data.
 type set struct {
@@ -135,7 +141,7 @@
 	customers      []share
 	following      bool
 	followAt       float64
-	followFailures float64
+	followFailures float64 // in a row
 	spare          []int
 }
 
@@ -177,33 +183,37 @@
 	if !cached {
 		r.following, r.followFailures = true, 0
 	}
-	if whole {
-		for i := range r.nodes {
-			r.nodes[i].listed = r.nodes[i].listed && r.site.SoftRemoval
+	for i := range r.nodes {
+		if whole {
+			r.nodes[i].goneAt = math.Min(r.nodes[i].goneAt, now)
 		}
 	}
 	for _, l := range list {
 		for len(r.nodes) <= l.Node {
-			r.nodes = append(r.nodes, node{set: -1, pos: math.Inf(-1), heardAt: math.Inf(-1),
-				roleAt: math.Inf(-1), lastGood: math.Inf(-1), lag: math.Inf(1),
-				started: math.Inf(-1), downAt: math.Inf(1), probedAt: math.Inf(-1), testAt: math.Inf(-1)})
+			r.nodes = append(r.nodes, blank)
 		}
 		for len(r.sets) <= l.Set {
 			r.sets = append(r.sets, set{floor: math.Inf(-1), top: math.Inf(-1), oldTop: math.Inf(-1)})
 		}
 		n := &r.nodes[l.Node]
 		if n.set != l.Set {
-			if n.set >= 0 {
-				old := &r.sets[n.set]
-				old.nodes = slices.DeleteFunc(old.nodes, func(i int) bool { return i == l.Node })
-			}
+			r.unplace(l.Node)
 			n.set = l.Set
 			r.sets[l.Set].nodes = append(r.sets[l.Set].nodes, l.Node)
 		}
-		n.zone, n.listPrimary = l.Zone, l.Primary
-		n.listed = l.State != Gone || r.site.SoftRemoval
-		n.drains = l.State == Draining || n.drains && l.State == Gone
-		n.started = math.Max(n.started, l.Started)
+		n.zone, n.listPrimary, n.started = l.Zone, l.Primary, math.Max(n.started, l.Started)
+		if l.State == Gone {
+			n.goneAt = math.Min(n.goneAt, now)
+			continue
+		}
+		n.drains, n.goneAt = l.State == Draining, math.Inf(1)
+	}
+}
+
+// unplace takes a node out of its set.
+func (r *Router) unplace(at int) {
+	if s := r.nodes[at].set; s >= 0 {
+		r.sets[s].nodes = slices.DeleteFunc(r.sets[s].nodes, func(i int) bool { return i == at })
 	}
 }
 
@@ -275,7 +285,7 @@
 	}
 	if now >= c.GiveUp || c.Set < 0 || c.Set >= len(r.sets) || len(c.Legs) >= r.site.Tries ||
 		c.runs >= mostRuns || !r.mayGoAgain(now, c, g) || now+g.work*(1-crowdSlack) > r.horizon(c, g) ||
-		len(c.Legs) == 0 && now+2*r.site.Tick > c.Arrived+holdShare*(c.GiveUp-c.Arrived) {
+		!c.wrote && now+2*r.site.Tick > c.Arrived+holdShare*(c.GiveUp-c.Arrived) {
 		return r.never(now, c, g)
 	}
 	at, spilled := r.choose(now, c, g)
@@ -289,9 +299,8 @@
 
 // admit notes what a command needs when it is first seen.
 func (r *Router) admit(now float64, c *Command, g *group) {
-	c.asked = true
+	c.asked, c.need = true, math.Inf(-1)
 	r.cmds++
-	c.need = math.Inf(-1)
 	if !c.Repeat {
 		g.asked++
 	}
@@ -337,11 +346,9 @@
 
 // mayGoAgain keeps rule 2: a repeat only of what is known not to have run, or within bounds.
 func (r *Router) mayGoAgain(now float64, c *Command, g *group) bool {
-	if c.runs == 0 || g.Effect == Replayable {
-		return true
-	}
-	// A connection may still have to be made, so a repeat must leave by that much earlier.
-	return g.Effect == Keyed && now+r.site.Dial+r.site.Tick < c.ranAt+g.Memory
+	// A connection may still have to be made, so a keyed repeat must leave by that much earlier.
+	return c.runs == 0 || g.Effect == Replayable ||
+		g.Effect == Keyed && now+r.site.Dial+r.site.Tick < c.ranAt+g.Memory
 }
 
 // never is the final answer of a command given up: throttled where a retry does no harm.
@@ -357,30 +364,31 @@
 	return a
 }
 
-// usable says whether rule 3 lets anything new go to a node.
-func (n *node) usable() bool { return n.listed && !n.drains }
+// usable says whether rule 3 lets anything new go to a node. With soft removal being gone does not bind.
+func (r *Router) usable(n *node) bool {
+	return n.set >= 0 && !n.drains && (math.IsInf(n.goneAt, 1) || r.site.SoftRemoval)
+}
 
 // choose picks a node, or -1, and tells a read spilled onto the primary.
 func (r *Router) choose(now float64, c *Command, g *group) (at int, spilled bool) {
-	switch g.Need {
-	case NeedWrite:
-		return r.chooseWriter(now, c, g), false
-	case NeedCurrent:
-		if p := r.primary(c.Set); p >= 0 && !r.doubted(now, p) {
-			return r.fit(now, c, g, p, g.primaryRoom), false
-		}
+	p := r.primary(c.Set)
+	open := p >= 0 && !r.doubted(now, p)
+	switch {
+	case open && (g.Need == NeedWrite || g.Need == NeedCurrent):
+		return r.fit(now, c, g, p), false
+	case g.Need == NeedWrite:
+		return r.seekPrimary(now, c, p), false
+	case g.Need == NeedCurrent:
 		c.need = c.Arrived // a replica that covers it will do
-	case NeedBound:
+	case g.Need == NeedBound:
 		c.need = now - g.Bound
 	}
 	if at = r.pick(now, c, g, c.need); at >= 0 {
 		return at, false
 	}
-	p := r.primary(c.Set)
 	futile := !r.ask(now, c, p) || c.missed
-	open := p >= 0 && !r.doubted(now, p)
 	if open && r.maySpill(now) {
-		if at = r.fit(now, c, g, p, g.primaryRoom); at >= 0 {
+		if at = r.fit(now, c, g, p); at >= 0 {
 			return at, true
 		}
 	}
@@ -390,7 +398,7 @@
 		}
 	}
 	if open && (futile || now-c.Arrived >= catchUp) {
-		return r.fit(now, c, g, p, g.primaryRoom), true
+		return r.fit(now, c, g, p), true
 	}
 	return -1, false
 }
@@ -400,7 +408,7 @@
 func (r *Router) ask(now float64, c *Command, primary int) bool {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
-		if n := &r.nodes[i]; i != primary && n.usable() && !n.shunned && n.mayCover(now, c.need) {
+		if n := &r.nodes[i]; i != primary && r.usable(n) && !n.shunned && n.mayCover(now, c.need) {
 			r.spare = append(r.spare, i)
 		}
 	}
@@ -432,26 +440,22 @@
 func (r *Router) primary(s int) int {
 	best, bestAt := -1, math.Inf(-1)
 	for _, i := range r.sets[s].nodes {
-		if n := &r.nodes[i]; n.usable() && n.role == RolePrimary && n.roleAt > bestAt {
+		if n := &r.nodes[i]; r.usable(n) && n.role == RolePrimary && n.roleAt > bestAt {
 			best, bestAt = i, n.roleAt
-		} else if n.usable() && best < 0 && n.role == RoleUnknown && n.listPrimary {
+		} else if r.usable(n) && best < 0 && n.role == RoleUnknown && n.listPrimary {
 			best = i
 		}
 	}
 	return best
 }
 
-// chooseWriter sends a write to the primary; with none known it tests members, since a miss is
+// seekPrimary tests members with a write where no primary is known, or only a doubted one, since a miss is
 // harmless and comes at once.
-func (r *Router) chooseWriter(now float64, c *Command, g *group) int {
-	p := r.primary(c.Set)
-	if p >= 0 && !r.doubted(now, p) {
-		return r.fit(now, c, g, p, g.primaryRoom)
-	}
+func (r *Router) seekPrimary(now float64, c *Command, p int) int {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
-		if n.usable() && i != p && !r.doubted(now, i) && now >= n.testAt && len(c.Legs) < r.site.Tries-1 &&
+		if r.usable(n) && i != p && !r.doubted(now, i) && now >= n.testAt && len(c.Legs) < r.site.Tries-1 &&
 			now-n.roleAt > testShare*r.span && r.coldRoom(now, i) {
 			r.spare = append(r.spare, i)
 		}
@@ -472,8 +476,7 @@
 // pick spreads reads uniformly over the replicas that cover a position. Who qualifies is
 // narrowed to those that answer (a hung one keeps its position) and are not crowded.
 func (r *Router) pick(now float64, c *Command, g *group, need float64) int {
-	trial := r.qualify(now, c, g, need)
-	if trial >= 0 {
+	if trial := r.qualify(now, c, g, need); trial >= 0 {
 		n := &r.nodes[trial]
 		// What was out of reach is left to probes. Where all are doubted the one that failed longest ago is
 		// taken, or many bad members at once would leave nobody to send to, and nobody to learn from.
@@ -522,7 +525,7 @@
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
 		doubted := r.doubted(now, i)
-		if i == p && !doubted || !n.usable() || n.pos < need && i != p || !r.coldRoom(now, i) {
+		if i == p && !doubted || !r.usable(n) || n.pos < need && i != p || !r.coldRoom(now, i) {
 			continue
 		}
 		if !doubted {
@@ -536,24 +539,21 @@
 
 // spread draws from the spare nodes that are not crowded, or gives -1 if the best has no room.
 func (r *Router) spread(now float64, c *Command, g *group) int {
-	first, best := -1, math.Inf(1)
-	for _, i := range r.spare {
-		if t := r.sojourn(i, g); t < best {
-			first, best = i, t
-		}
+	if len(r.spare) == 0 {
+		return -1
 	}
-	if first < 0 || !r.fits(now, c, g, first, g.room) {
+	best := slices.MinFunc(r.spare, func(a, b int) int { return cmp.Compare(r.sojourn(a, g), r.sojourn(b, g)) })
+	if !r.fits(now, c, g, best, g.room) {
 		return -1
 	}
-	r.spare = slices.DeleteFunc(r.spare, func(i int) bool {
-		return r.sojourn(i, g) > best+crowdSlack*g.Target
-	})
+	most := r.sojourn(best, g) + crowdSlack*g.Target
+	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.sojourn(i, g) > most })
 	return r.spare[r.chance(len(r.spare))]
 }
 
-// fit returns a node if it has room for the command in time, else -1.
-func (r *Router) fit(now float64, c *Command, g *group, at int, room float64) int {
-	if !r.coldRoom(now, at) || !r.fits(now, c, g, at, room) {
+// fit returns a primary if it has room for the command in time, else -1.
+func (r *Router) fit(now float64, c *Command, g *group, at int) int {
+	if !r.coldRoom(now, at) || !r.fits(now, c, g, at, g.primaryRoom) {
 		return -1
 	}
 	return at
@@ -676,15 +676,13 @@
 // send books a dispatch.
 func (r *Router) send(now float64, c *Command, g *group, at int, spilled bool) Answer {
 	n := &r.nodes[at]
-	if n.unheard == 0 {
+	if n.unheard++; n.unheard == 1 {
 		n.since = now
 	}
-	n.unheard++
 	c.Legs = append(c.Legs, Leg{Node: at, Sent: now, Out: true, ahead: n.out, fresh: n.idle == 0})
 	n.idle = max(0, n.idle-1)
 	r.fadeNode(now, n)
-	n.out++
-	n.sent++
+	n.out, n.legs, n.sent = n.out+1, n.legs+1, n.sent+1
 	n.budget = math.Max(0, n.budget-1)
 	if g.Need != NeedWrite && len(c.Legs) == 1 {
 		r.turnSlots(now)
@@ -732,7 +730,7 @@
 func (r *Router) elsewhere(now float64, c *Command, g *group, at int) bool {
 	p := r.primary(c.Set)
 	return slices.ContainsFunc(r.sets[c.Set].nodes, func(i int) bool {
-		return i != at && (g.Need != NeedWrite || i == p) && r.nodes[i].usable() && !r.doubted(now, i)
+		return i != at && (g.Need != NeedWrite || i == p) && r.usable(&r.nodes[i]) && !r.doubted(now, i)
 	})
 }
 
@@ -764,7 +762,8 @@
 	g := &r.groups[c.Group]
 	l := &c.Legs[o.Leg]
 	n := &r.nodes[l.Node]
-	l.Out = false
+	l.Out, n.legs = false, n.legs-1
+	c.wrote = c.wrote || o.Ending != Unreached && o.Ending != Moot
 	if !l.lost {
 		n.out--
 	}
@@ -892,7 +891,13 @@
 		for i := range r.nodes {
 			// A position that was not told lately, or a sign of life from a doubted node.
 			n, doubted := &r.nodes[i], r.doubted(now, i)
-			if n.usable() && (doubted && now-n.probedAt >= r.retry || !doubted && r.site.Reports &&
+			// A flapping list, a cold start and what is still out are over by then; the row may be another's.
+			if n.set >= 0 && n.legs == 0 && now-math.Max(n.goneAt, n.lastGood) > r.site.WarmIn+keepSpans*r.longest {
+				r.unplace(i)
+				*n = blank
+				up.Forget = append(up.Forget, i)
+			}
+			if r.usable(n) && (doubted && now-n.probedAt >= r.retry || !doubted && r.site.Reports &&
 				now-math.Max(n.heardAt, n.probedAt) >= r.look) {
 				r.probe(now, i)
 			}
@@ -909,7 +914,7 @@
 	var rate, warm, shunned float64
 	for i := range r.nodes {
 		n := &r.nodes[i]
-		if !n.usable() {
+		if !r.usable(n) {
 			continue
 		}
 		r.fadeNode(now, n)
@@ -986,7 +991,7 @@
 
 // forget lets the older generation of sessions go; their positions become their sets' floors.
 func (r *Router) forget(now float64) {
-	if now-r.turnedAt < sessionSpans*r.longest && len(r.young) < sessionCap/2 {
+	if now-r.turnedAt < keepSpans*r.longest && len(r.young) < sessionCap/2 {
 		return
 	}
 	r.turnedAt = now
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -220,10 +220,10 @@
 	assert.NotContains(t, []int{1, 2}, r.Place(10, command(gAny)).Node)
 	r.site.SoftRemoval = true
 	r.Listed(10, []Listing{gone}, false, false)
-	assert.True(t, r.nodes[2].usable(), "gone alone does not bind there")
+	assert.True(t, r.usable(&r.nodes[2]), "gone alone does not bind there")
 	l.State = Gone
 	r.Listed(10, []Listing{l}, false, false)
-	assert.False(t, r.nodes[1].usable(), "but a drain before it does")
+	assert.False(t, r.usable(&r.nodes[1]), "but a drain before it does")
 }
 
 func TestColdNodeHasABudget(t *testing.T) {
@@ -531,7 +531,7 @@
 func TestEvictedTokensRaiseTheFloor(t *testing.T) {
 	r := testRouter(t, testSite())
 	r.young[1], r.sets[0].top = session{token: 9}, 9
-	span := sessionSpans * 2.0
+	span := keepSpans * 2.0
 	r.forget(10 + span)
 	assert.Contains(t, r.old, uint64(1))
 	r.forget(10 + 2*span)
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -106,6 +106,7 @@
 	Repeat   bool    // a client's further try, where clients say so
 
 	Legs   []Leg   // dispatches, in order
+	wrote  bool    // a member has had a dispatch whole
 	runs   int     // dispatches that may have run and gave no answer
 	ranAt  float64 // when the first of those was sent
 	ranOn  int     // and where
@@ -190,5 +191,6 @@
 // Upkeep is what is due besides commands.
 type Upkeep struct {
 	Probe  []int // nodes
+	Forget []int // nodes whose index may be given to others
 	Follow bool  // ask for the list and its changes
 }
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -40,17 +40,27 @@
 	Read      int     // of one connection in one turn
 	Accepts   int     // in one turn
 	Backlog   int     // of connections not yet accepted
+	Messages  int     // of one connection in one turn
 	Pipeline  int     // commands in hand of one connection
+	Faults    int     // queries of one connection that are no command, before it is ended
+	Away      int     // bytes read away of a connection that was ended
 	Unsent    int     // answers that a connection may owe before it is read again
 	Shared    int     // descriptors for clients and members together
 	Clients   int     // client connections
 	Members   int     // member connections, or more while descriptors are free
 	Epoch     float64 // before the start from which positions count; the reason stands in core
 	Way       float64 // kept of a client's time for the answer's way: what one tick of the settings is
-	Stall     float64 // that a client may stay in the middle of a message or an answer
+	Wait      float64 // longest that a command may name
+	First     float64 // from a client's coming to its first whole query
+	Whole     float64 // from a message's first bytes to its last
+	Stall     float64 // that a client may leave an answer untaken
+	Spare     float64 // that a client is spared between commands when others need its descriptor
+	Quiet     float64 // after which a client between commands is closed
 	Dial      float64 // that a connection may take to come up
 	Probe     float64 // that a probe may take
 	Idle      float64 // after which an idle member connection is closed
+	Rest      float64 // that a member connection stands before it is used again; the reason stands in member
+	Ahead     float64 // that a member's position may lie in the future
 	Watch     float64 // that discovery may hold a call
 	Late      float64 // beyond which the call has failed
 	Pause     float64 // before discovery is dialled again, doubled up to
@@ -71,20 +81,28 @@
 	keptSockets     = 24 // for discovery, the listener, the run time
 	memberShare     = 3  // every third of the rest is for members
 	idleShare       = 0.6
+	longestWait     = 10 // client timeouts of the deployment: what is longer is a mistake
 )
 
 func limits(memoryMB, sockets int, told *Told) Limits {
 	rest := sockets - keptSockets
 	memory := int64(memoryMB) << 20
+	longest := 0.0
+	for _, g := range told.Groups {
+		longest = max(longest, g.Timeout)
+	}
 	return Limits{
 		Memory: memory, Sockets: sockets,
 		Block: blockSize, Blocks: int(memory / blockShare / blockSize),
 		Message: 4*largestValue + blockSize, // a value may be written with four characters a byte
 		Answer:  largestValue + blockSize, Page: 8 << 20,
 		Packet: 10000, Comment: 1 << 10, Note: 8 << 10, Line: 8 << 10, Events: 256,
-		Read: 64 << 10, Accepts: 64, Backlog: 1024, Pipeline: 64, Unsent: 4 * largestValue,
+		Read: 64 << 10, Accepts: 64, Backlog: 1024, Messages: 32, Pipeline: 64, Faults: 16, Away: 1 << 20,
+		Unsent: 4 * largestValue,
 		Shared: rest, Clients: rest - rest/memberShare, Members: rest / memberShare,
-		Epoch: 3600, Way: told.Tick, Stall: 10, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		Epoch: 3600, Way: told.Tick, Wait: longestWait * longest,
+		First: 2, Whole: 2, Stall: 10, Spare: 2, Quiet: 30, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		Rest: told.Tick, Ahead: 1,
 		Watch: 5, Late: 1, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
 	}
--- a/service/service.go
+++ b/service/service.go
@@ -50,7 +50,7 @@
 	r.count.GroupNames = r.start.Told.Names
 	r.count.TakenByGroup = make([]uint64, len(r.count.GroupNames))
 	r.core = core.New(&r.start, l, r.blocks, &r.count, log)
-	r.front, err = front.Listen(s.Listen, l, &r.start.Limits, r.blocks, r.core, r.start.Told.Names, &r.count, log)
+	r.front, err = front.Listen(s.Listen, l, &r.start.Limits, r.blocks, r.core, &r.start.Told, &r.count, log)
 	if err != nil {
 		return nil, err
 	}
@@ -62,8 +62,11 @@
 func (r *Router) Run() error {
 	defer close(r.over)
 	err := r.loop.Run(func(now float64) float64 {
-		r.front.Refresh()
+		more := r.front.Refresh()
 		next := r.core.Settle(now)
+		if more {
+			next = now
+		}
 		if r.ending && r.front.Closed() && r.front.Open() == 0 && r.core.InHand() == 0 {
 			r.loop.Stop()
 		}
@@ -135,6 +138,8 @@
 	c.TakenByGroup = append([]uint64(nil), c.TakenByGroup...)
 	c.ClientsOpen, c.InHand = uint64(r.front.Open()), uint64(r.core.InHand())
 	c.MembersOpen, c.BlocksInUse = uint64(r.core.Members()), uint64(r.blocks.Out())
+	known, rows := r.core.Known()
+	c.MembersKnown, c.MemberRows = uint64(known), uint64(rows)
 	c.LongestTurn = r.loop.Longest()
 	return c
 }
