--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,7 +113,7 @@
 
 func (f *Front) rest() {
 	f.listen(false)
-	f.loop.Set(f.resume, f.loop.Now()+f.limits.Pause)
+	f.loop.Set(f.resume, f.loop.Now()+f.limits.Mute)
 }
 
 // shed makes room by one connection: one that was ended, or has not asked for anything since it came, before one
@@ -124,7 +124,7 @@
 		e.Value.(*conn).close()
 		return true
 	}
-	return f.shedFrom(&f.mute, f.limits.Pause) || f.shedFrom(&f.idle, f.limits.Spare)
+	return f.shedFrom(&f.mute, f.limits.Mute) || f.shedFrom(&f.idle, f.limits.Spare)
 }
 
 func (f *Front) shedFrom(l *list.List, spare float64) bool {
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -56,6 +56,7 @@
 	Stall     float64 // that a client may leave an answer untaken
 	Spare     float64 // that a client is spared between commands when others need its descriptor
 	Quiet     float64 // after which a client between commands is closed
+	Mute      float64 // that a client is spared that has not asked yet, and that the listener rests when none makes room
 	Dial      float64 // that a connection may take to come up
 	Probe     float64 // that a probe may take
 	Idle      float64 // after which an idle member connection is closed
@@ -101,7 +102,7 @@
 		Unsent: 4 * largestValue,
 		Shared: rest, Clients: rest - rest/memberShare, Members: rest / memberShare,
 		Epoch: 3600, Way: told.Tick, Wait: longestWait * longest,
-		First: 2, Whole: 2, Stall: 10, Spare: 2, Quiet: 30, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		First: 2, Whole: 2, Stall: 10, Spare: 2, Quiet: 30, Mute: 0.01, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Rest: told.Tick, Ahead: 1,
 		Watch: 5, Late: 1, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
