--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -42,7 +42,7 @@
 
 func command(o *Core, blocks *buffer.Pool, f Front) *Command {
 	set, _ := o.Set(7)
-	c := &Command{Set: set, GiveUp: 1, Text: blocks.New(), Front: f}
+	c := &Command{Name: "9b1f", Set: set, GiveUp: 1, Text: blocks.New(), Front: f}
 	c.Text.Write([]byte("d=99\x00"))
 	o.Take(c)
 	return c
@@ -63,7 +63,8 @@
 	assert.InDelta(t, 3600, position, 0.01)
 	assert.True(t, primary)
 	assert.InDelta(t, 0, o.clock(o.zeroMs)+position, 0.01, "which is when the router's clock read 0")
-	for _, nonsense := range []string{"", "x0", "x0=soon", "x0=NaN", "x0=-Inf", "util=0.5"} {
+	for _, nonsense := range []string{"", "x0", "x0=soon", "x0=NaN", "x0=-Inf", "util=0.5", "x0=-5", "x0=1e18",
+		fmt.Sprintf("x0=%.3f", unix+60), fmt.Sprintf("x0=%.3f,x1=perhaps", unix), fmt.Sprintf("x0=%.3f,x1=7", unix)} {
 		position, _ = o.report(nonsense)
 		assert.Negative(t, position, nonsense)
 	}
@@ -116,3 +117,35 @@
 	o.Ended(&member.Dispatch{ID: 99}, router.Broken, 0, nil)
 	o.Settle(0.3)
 }
+
+func TestMembersThatComeAndGoLeaveNoRows(t *testing.T) {
+	o, _ := newCore(t)
+	span := 0.0
+	for i := range 500 {
+		now := float64(i)
+		list := roster.List{Members: []roster.Member{{ID: fmt.Sprint("m", i), Cell: 7, State: roster.Ready},
+			{ID: fmt.Sprint("m", i-1), Cell: 7, State: roster.Gone}}}
+		o.Listed(list)
+		o.Settle(now)
+		if known, _ := o.Known(); float64(known) > span {
+			span = float64(known)
+		}
+	}
+	known, rows := o.Known()
+	assert.Less(t, span, 30.0, "rows level off")
+	assert.Less(t, rows, 30)
+	o.Settle(2000)
+	known, _ = o.Known()
+	assert.Equal(t, 2, known, "those that are listed")
+}
+
+func TestNamesAreOpenUntilTheFinalAnswer(t *testing.T) {
+	o, blocks := newCore(t)
+	var s said
+	c := command(o, blocks, &s)
+	assert.True(t, o.Open(c.Name))
+	o.Left(c)
+	o.Settle(0.1)
+	assert.False(t, o.Open(c.Name))
+	assert.Empty(t, o.ids)
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,193 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/core"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/roster"
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+// desk is a front whose one member takes connections and says nothing.
+type desk struct {
+	t     *testing.T
+	f     *Front
+	l     *loop.Loop
+	core  *core.Core
+	count count.Counters
+}
+
+func newDesk(t *testing.T, change func(*site.Limits)) *desk {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = mute.Close() })
+	d := &desk{t: t, count: count.Counters{TakenByGroup: make([]uint64, 2)}}
+	d.l, err = loop.New(16)
+	require.NoError(t, err)
+	at := netip.MustParseAddrPort(mute.Addr().String())
+	s := &site.Start{Known: roster.List{Whole: true, Members: []roster.Member{{ID: "a", At: at, Cell: 2, State: roster.Ready, Primary: true}}}}
+	group := router.CommandGroup{Need: router.NeedAny, Target: 500, Timeout: 500, Benefit: 1}
+	keyed := router.CommandGroup{Need: router.NeedWrite, Effect: router.Keyed, Target: 500, Timeout: 500, Benefit: 1}
+	s.Told.Site = router.Site{Groups: []router.CommandGroup{group, keyed}, Routers: 1, Tries: 4, Tick: 0.005, Ask: true, WarmIn: 1, FallSpan: 1}
+	s.Told.Names = []string{"look", "order"}
+	s.Discovery = at
+	s.Limits = site.Limits{Epoch: 3600, Members: 8, Clients: 8, Shared: 64, Dial: 100, Probe: 100, Late: 100, Watch: 1, Pause: 100,
+		LongPause: 100, Read: 1 << 16, Block: 4096, Answer: 1 << 17, Note: 1 << 10, Message: 1 << 16, Packet: 1000, Comment: 1 << 10,
+		Accepts: 8, Backlog: 64, Messages: 100, Pipeline: 8, Faults: 100, Away: 1 << 20, Unsent: 1 << 20, Wait: 1000, First: 100, Whole: 100,
+		Stall: 100, Spare: 100, Quiet: 100, Farewell: 100, Idle: 100}
+	change(&s.Limits)
+	blocks := buffer.NewPool(4096, 1<<20)
+	d.core = core.New(s, d.l, blocks, &d.count, zerolog.Nop())
+	d.core.Settle(0)
+	d.f, err = Listen(netip.MustParseAddrPort("127.0.0.1:0"), d.l, &s.Limits, blocks, d.core, &s.Told, &d.count, zerolog.Nop())
+	require.NoError(t, err)
+	return d
+}
+
+// run turns the loop until something holds.
+func (d *desk) run(until func() bool) {
+	d.t.Helper()
+	late := time.Now().Add(20 * time.Second)
+	require.NoError(d.t, d.l.Run(func(now float64) float64 {
+		d.f.Refresh()
+		d.core.Settle(now)
+		if until() || time.Now().After(late) {
+			d.l.Stop()
+		}
+		return now + 0.002
+	}))
+	require.True(d.t, until(), "waited for in vain")
+}
+
+// client connects and sends, and then its answers are read until the end.
+func (d *desk) client(say ...[]byte) (net.Conn, chan string) {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.f.At.String())
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = c.Close() })
+	for _, b := range say {
+		_, err := c.Write(b)
+		require.NoError(d.t, err)
+	}
+	heard := make(chan string, 1)
+	go func() {
+		b, _ := io.ReadAll(c)
+		heard <- string(b)
+	}()
+	return c, heard
+}
+
+func (d *desk) hear(from chan string) string {
+	d.t.Helper()
+	said, ok := "", false
+	d.run(func() bool {
+		select {
+		case said = <-from:
+			ok = true
+		default:
+		}
+		return ok
+	})
+	return said
+}
+
+func query(id string, rest string) []byte {
+	return pg.Query(nil, fmt.Sprintf("SELECT doc FROM items WHERE id = 'k' /* id=%s,cluster=2,%s */", id, rest))
+}
+
+func TestHalfAMessageIsAnErrorInTime(t *testing.T) {
+	for what, half := range map[string][]byte{
+		"start-up": pg.Hello(nil)[:20], "query": append(pg.Hello(nil), query("1", "c=look,d=300")[:30]...),
+	} {
+		d := newDesk(t, func(l *site.Limits) { l.First = 0.05 })
+		_, heard := d.client(half)
+		assert.Contains(t, d.hear(heard), pg.CodeProtocol, what)
+		assert.EqualValues(t, 1, d.count.CutShort, what)
+	}
+	d := newDesk(t, func(l *site.Limits) { l.Whole = 0.05 })
+	c, heard := d.client(pg.Hello(nil), pg.Query(nil, ""))
+	go func() { // drips, which renews nothing
+		for _, b := range query("1", "c=look,d=300") {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	assert.Contains(t, d.hear(heard), pg.CodeProtocol)
+	assert.Zero(t, d.count.Taken)
+}
+
+func TestClientThatNeverAsksIsClosed(t *testing.T) {
+	d := newDesk(t, func(l *site.Limits) { l.First = 0.05 })
+	_, nothing := d.client()
+	_, hello := d.client(pg.Hello(nil))
+	assert.Empty(t, d.hear(nothing))
+	assert.NotEmpty(t, d.hear(hello), "the welcome")
+	assert.EqualValues(t, 2, d.count.NeverAsked)
+	assert.Zero(t, d.f.Open())
+	assert.Zero(t, d.f.mute.Len()+d.f.idle.Len()+d.f.parting.Len())
+}
+
+func TestThoseThatNeverAskedMakeRoomFirst(t *testing.T) {
+	d := newDesk(t, func(l *site.Limits) { l.Clients, l.Spare = 2, 0 })
+	_, asked := d.client(pg.Hello(nil), pg.Query(nil, ""))
+	d.run(func() bool { return d.f.idle.Len() == 1 })
+	_, silent := d.client()
+	d.run(func() bool { return d.f.mute.Len() == 1 })
+	d.client()
+	d.hear(silent)
+	assert.EqualValues(t, 1, d.count.Shed)
+	assert.Empty(t, asked, "it asked, and stays")
+}
+
+func TestWhatMembersMustNotSeeIsAnErrorOfTheFront(t *testing.T) {
+	d := newDesk(t, func(*site.Limits) {})
+	d.client(pg.Hello(nil), query("a1", "c=look,d=300000"))
+	d.run(func() bool { return d.count.Taken == 1 })
+	for what, b := range map[string][]byte{
+		"id in hand": query("a1", "c=look,d=300"), "no key": query("b", "c=order,d=300"), "absurd wait": query("b", "c=look,d=2000000"),
+		"no id": pg.Query(nil, "SELECT 1 /* c=look,d=300,cluster=2 */"), "group": query("b", "c=gaze,d=300"),
+		"set": pg.Query(nil, "SELECT 1 /* id=b,c=look,d=300,cluster=77 */"),
+	} {
+		_, heard := d.client(pg.Hello(nil), b, []byte("X\x00\x00\x00\x04"))
+		said := d.hear(heard)
+		assert.True(t, strings.Contains(said, pg.CodeValue) || strings.Contains(said, pg.CodeSyntax), "%s: %q", what, said)
+	}
+	assert.EqualValues(t, 1, d.count.Taken)
+	assert.EqualValues(t, 6, d.count.BadInput)
+}
+
+func TestClientThatRepeatsWhatIsNoCommandIsEnded(t *testing.T) {
+	d := newDesk(t, func(l *site.Limits) { l.Faults = 3 })
+	bad := query("b", "c=gaze,d=300")
+	c, heard := d.client(pg.Hello(nil), bad, bad, bad, bad)
+	d.run(func() bool { return d.f.parting.Len() == 1 })
+	go func() { _, _ = c.Write(make([]byte, 64<<20)) }() // far more than is read away
+	assert.Equal(t, 3, strings.Count(d.hear(heard), pg.CodeValue))
+	d.run(func() bool { return d.f.Open() == 0 })
+}
+
+func TestOneClientHasItsShareOfATurn(t *testing.T) {
+	d := newDesk(t, func(l *site.Limits) { l.Messages = 4 })
+	d.client(append(pg.Hello(nil), strings.Repeat(string(pg.Query(nil, "")), 50)...))
+	d.run(func() bool { return len(d.f.more) > 0 })
+	turns := 0
+	d.run(func() bool { turns++; return len(d.f.more) == 0 })
+	assert.Greater(t, turns, 8)
+}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -241,6 +241,8 @@
 		"too far behind": {pg.Ready(fail(pg.CodeBehind, false)), router.Missed, 1},
 		"error":          {pg.Ready(fail("XX000", false)), router.Errored, 1},
 		"no row":         {pg.Ready(nil), router.Errored, 1},
+		"3 GB promised":  {[]byte("D\xb2\xd0\x5e\x00"), router.Errored, 0},
+		"full in a row":  {pg.Ready(pg.Error(answer("x")[:41], false, pg.CodeFull, "", "")), router.Errored, 1},
 		"nonsense":       {[]byte("HTTP/1.1 400 Bad Request\r\n\r\n"), router.Errored, 0},
 		"too much":       {append(answer("x"), answer("y")...), router.Answered, 0},
 	} {
@@ -345,3 +347,48 @@
 	b.m.Probe(1)
 	assert.Equal(t, 2, b.m.Open(), "beyond its own where descriptors are free")
 }
+
+// The order that matters: an answer, the next command, then bytes that belong to no command.
+func TestWhatComesBehindAnAnswerMeetsNoOtherCommand(t *testing.T) {
+	b := newBench(t)
+	b.m.limits.Rest = 1000
+	b.send("d=99", far)
+	c := b.accept()
+	b.reply(c, "one")
+	b.send("d=99", far)
+	_, _ = c.Write(answer("one")) // a second copy, while the next command is out
+	other := b.accept()
+	b.reply(other, "two")
+	b.run(func() bool { return b.count.Unasked == 1 })
+	assert.Equal(t, []string{"one", "two"}, b.values)
+	b.m.limits.Rest = 0
+	_, _ = other.Write([]byte("noise"))
+	b.run(func() bool { return b.count.Unasked == 2 })
+	assert.Zero(t, b.m.Open(), "neither connection is used again")
+}
+
+func TestMemberThatSpoilsItsReportHasBeenReached(t *testing.T) {
+	b := newBench(t)
+	b.m.Probe(0)
+	c := b.accept()
+	b.hear(c, 5)
+	_, _ = c.Write([]byte("~~~~~~"))
+	b.run(func() bool { return len(b.probes) == 1 })
+	assert.Equal(t, []bool{true}, b.probes)
+	assert.Equal(t, []string{""}, b.reports)
+	assert.EqualValues(t, 1, b.count.Spoilt)
+	assert.Zero(t, b.m.Open())
+}
+
+func TestForgottenMemberLeavesNothing(t *testing.T) {
+	b := newBench(t)
+	b.send("d=99", far)
+	c := b.accept()
+	b.reply(c, "one")
+	b.send("d=98", far)
+	b.m.Forget(0)
+	b.reply(c, "late")
+	assert.Zero(t, b.m.Open(), "one that was busy is not kept for whoever has the row next")
+	b.m.Probe(0)
+	assert.Equal(t, []bool{false}, b.probes, "no address is left")
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -576,3 +576,42 @@
 	r.nodes[2].drains = false
 	assert.Equal(t, Send, r.After(10.25, c, Outcome{Ending: Full, Position: -1}).Verdict, "one that was sent goes on")
 }
+
+func TestRowOfAGoneNodeIsLetGoAndStartsClean(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.nodes[2].set, r.nodes[2].started = 0, 9
+	gone := listed(2)
+	gone.State = Gone
+	r.Listed(10, []Listing{gone}, false, false)
+	span := r.site.WarmIn + keepSpans*r.longest
+	r.nodes[2].legs = 1
+	_, up := r.Wait(11 + span)
+	assert.Empty(t, up.Forget, "a dispatch is out there")
+	r.nodes[2].legs = 0
+	_, up = r.Wait(9 + span)
+	assert.Empty(t, up.Forget, "a list may flap")
+	_, up = r.Wait(12 + span)
+	assert.Equal(t, []int{2}, up.Forget)
+	assert.Equal(t, []int{0, 1}, r.sets[0].nodes)
+	_, up = r.Wait(13 + span)
+	assert.Empty(t, up.Forget, "once")
+	r.Listed(14+span, []Listing{{Node: 2, Set: 1, State: Ready, Started: math.Inf(-1)}}, false, false)
+	assert.True(t, r.usable(&r.nodes[2]))
+	assert.True(t, math.IsInf(r.nodes[2].pos, -1), "nothing of the one before counts")
+	_, up = r.Wait(99 + span)
+	assert.Empty(t, up.Forget, "what is listed stays")
+}
+
+func TestCommandThatNeverReachedAMemberIsGivenUpByHalf(t *testing.T) {
+	r := testRouter(t, testSite())
+	c := command(gAny)
+	a := r.Place(10, c)
+	require.Equal(t, Send, a.Verdict)
+	a = r.After(11, c, Outcome{Ending: Unreached, Position: -1})
+	assert.Equal(t, Throttle, a.Verdict, "half of its client's time is over and nobody has had it")
+	c = command(gCurrent)
+	r.groups[gCurrent].Late = 1
+	require.Equal(t, Send, r.Place(10, c).Verdict)
+	a = r.After(11, c, Outcome{Ending: Full, Position: -1})
+	assert.NotEqual(t, Throttle, a.Verdict, "a member has had this one")
+}
