--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -615,9 +615,11 @@
 	return n.shunned
 }
 
-// patience is how long a node may stay silent after a dispatch; lone lost answers do not count.
+// patience is how long a node may stay silent after a dispatch; lone lost answers do not count, nor silence that
+// costs little of the target: where answers are quick a long one among them doubted healthy nodes all day.
 func (r *Router) patience(n *node) float64 {
-	return cmp.Or(r.mean(n), testShare*r.span) * (1 + quietAlone/float64(max(1, n.unheard)))
+	mean := cmp.Or(r.mean(n), testShare*r.span)
+	return math.Max(crowdSlack*r.span, mean*(1+quietAlone/float64(max(1, n.unheard))))
 }
 
 func (r *Router) fadeNode(now float64, n *node) {
