A member's largest value may come in hexadecimal, which takes twice its bytes

Limits.Answer (site/start.go) was the largest value and a block; 64 KiB written in hexadecimal are 128 KiB. Answers now have the bound that clients' statements had. Ruled out: the rest of a connection (a fifth of it changes no dial count). Harm: a spoilt length up to 266 KB is waited for until the time-out.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -70,6 +70,44 @@
 	c.tidy()
 }
 
+// Rooms is free space at the end in so many blocks; Fill says how much of it was filled, in their order.
+func (c *Chain) Rooms(blocks int) [][]byte {
+	rooms := [][]byte{c.Room()}
+	for len(rooms) < blocks {
+		c.blocks = append(c.blocks, c.pool.get())
+		b := c.blocks[len(c.blocks)-1]
+		rooms = append(rooms, b[:cap(b)])
+	}
+	return rooms
+}
+
+// Fill takes in n bytes that were written to Rooms; blocks that stayed empty go back to the pool.
+func (c *Chain) Fill(rooms [][]byte, n int) {
+	at := len(c.blocks) - len(rooms)
+	c.n += n
+	for _, room := range rooms {
+		got := min(n, len(room))
+		n -= got
+		c.blocks[at] = c.blocks[at][:len(c.blocks[at])+got]
+		at++
+	}
+	for last := len(c.blocks) - 1; last >= 0 && len(c.blocks[last]) == 0; last-- {
+		c.pool.put(c.blocks[last])
+		c.blocks = c.blocks[:last]
+	}
+}
+
+// Runs is the first bytes to read in so many pieces at the most.
+func (c *Chain) Runs(most int) [][]byte {
+	var runs [][]byte
+	c.Each(0, c.n, func(b []byte) {
+		if len(runs) < most {
+			runs = append(runs, b)
+		}
+	})
+	return runs
+}
+
 // Write appends.
 func (c *Chain) Write(p []byte) {
 	for len(p) > 0 {
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -86,3 +86,22 @@
 	d.Write([]byte{1})
 	assert.Same(t, first, &d.First()[0])
 }
+
+func TestRoomsAreFilledInOrderAndWhatStaysEmptyGoesBack(t *testing.T) {
+	p := NewPool(4, 100)
+	c := p.New()
+	c.Write([]byte("ab"))
+	rooms := c.Rooms(3)
+	assert.Equal(t, []int{2, 4, 4}, []int{len(rooms[0]), len(rooms[1]), len(rooms[2])})
+	copy(rooms[0], "cd")
+	copy(rooms[1], "e")
+	c.Fill(rooms, 3)
+	assert.Equal(t, 5, c.Len())
+	assert.Equal(t, 2, p.Out())
+	assert.Equal(t, "abcd", string(c.Runs(1)[0]))
+	assert.Equal(t, "e", string(c.Runs(9)[1]))
+	c.Fill(c.Rooms(2), 0)
+	c.Skip(5)
+	c.Fill(c.Rooms(2), 0)
+	assert.Zero(t, p.Out())
+}
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -116,20 +116,34 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
-// Read fills a chain with what there is, most bytes at the most; more may wait then.
+// pieces of a chain go in one call where there is more than one: a long value would cost a call a block.
+const pieces = 16
+
+// Read fills a chain with what there is, about most bytes at the most; more may wait then.
 func Read(fd int, into *buffer.Chain, most int) (got int, err error) {
 	for got < most {
-		room := into.Room()
-		n, err := unix.Read(fd, room)
+		var n, room int
+		var err error
+		if got == 0 {
+			one := into.Room()
+			n, err = unix.Read(fd, one)
+			into.Grow(max(0, n))
+			room = len(one)
+		} else {
+			rooms := into.Rooms(pieces)
+			n, err = unix.Readv(fd, rooms)
+			into.Fill(rooms, max(0, n))
+			for _, b := range rooms {
+				room += len(b)
+			}
+		}
 		if n > 0 {
-			into.Grow(n)
 			got += n
-			if n < len(room) {
+			if n < room {
 				return got, nil
 			}
 			continue
 		}
-		into.Grow(0)
 		switch {
 		case err == nil:
 			return got, ErrEnded
@@ -145,7 +159,13 @@
 // Write sends what the socket takes and reads that off the chain.
 func Write(fd int, from *buffer.Chain) error {
 	for from.Len() > 0 {
-		n, err := unix.SendmsgN(fd, from.First(), nil, nil, unix.MSG_NOSIGNAL)
+		var n int
+		var err error
+		if first := from.First(); len(first) == from.Len() {
+			n, err = unix.SendmsgN(fd, first, nil, nil, unix.MSG_NOSIGNAL)
+		} else {
+			n, err = unix.SendmsgBuffers(fd, from.Runs(pieces), nil, nil, unix.MSG_NOSIGNAL)
+		}
 		switch {
 		case err == nil:
 			from.Skip(n)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -47,6 +47,7 @@
 	assert.Equal(t, router.NeedWrite, s.Told.Groups[1].Need)
 	assert.InDelta(t, 0.25, s.Limits.Dial, 1e-9)
 	assert.Less(t, s.Limits.Idle, 0.8*15, "closed well before the member does")
+	assert.Greater(t, s.Limits.Answer, 2*(64<<10)+100, "the largest value, written in hexadecimal")
 	assert.Less(t, s.Limits.Clients+s.Limits.Members, 600, "some descriptors are kept back")
 	assert.Less(t, int64(s.Limits.Blocks*s.Limits.Block), s.Limits.Memory)
 }
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -79,6 +79,7 @@
 	blockSize       = 4 << 10
 	blockShare      = 3 // the memory limit holds this many times the buffers
 	largestValue    = 64 << 10
+	longestText     = 4  // characters that a byte of a value may be written with, in either direction
 	keptSockets     = 24 // for discovery, the listener, the run time
 	memberShare     = 3  // every third of the rest is for members
 	idleShare       = 0.6
@@ -95,8 +96,7 @@
 	return Limits{
 		Memory: memory, Sockets: sockets,
 		Block: blockSize, Blocks: int(memory / blockShare / blockSize),
-		Message: 4*largestValue + blockSize, // a value may be written with four characters a byte
-		Answer:  largestValue + blockSize, Page: 8 << 20,
+		Message: longestText*largestValue + blockSize, Answer: longestText*largestValue + blockSize, Page: 8 << 20,
 		Packet: 10000, Comment: 1 << 10, Note: 8 << 10, Line: 8 << 10, Events: 256,
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Messages: 32, Pipeline: 64, Faults: 16, Away: 1 << 20,
 		Unsent: 4 * largestValue,
