Clients between commands are bounded; the longest idle one leaves, after five seconds at the latest

A count of the front's connections by phase showed 127 to 128 between commands that never asked again, 82 silent ones and hardly any in hand at 210 of 240 places: clients that ask once and stay had used up what their side may hold open, so no command came. Ruled out: the module (24 throttled in all), descriptors (30 free), the listener (it rested only later, at 240, since idle ones were spared for two seconds). front.shed acted only at the limit of descriptors, Limits.Quiet was 30 s.

An eighth of the descriptors may be clients between commands; beyond that the longest idle is closed, as the protocol allows between requests. Nobody is spared for longer than 10 ms.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -117,20 +117,20 @@
 }
 
 // shed makes room by one connection: one that was ended, or has not asked for anything since it came, before one
-// that has been between commands for the longest. Each is spared for some time, and so is one that has sent
+// that has been between commands for the longest. Each is spared for a moment, and so is one that has sent
 // something that was not read yet.
 func (f *Front) shed() bool {
 	if e := f.parting.Front(); e != nil {
 		e.Value.(*conn).close()
 		return true
 	}
-	return f.shedFrom(&f.mute, f.limits.Mute) || f.shedFrom(&f.idle, f.limits.Spare)
+	return f.shedFrom(&f.mute) || f.shedFrom(&f.idle)
 }
 
-func (f *Front) shedFrom(l *list.List, spare float64) bool {
+func (f *Front) shedFrom(l *list.List) bool {
 	for e := l.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		if f.loop.Now()-c.queuedAt < spare {
+		if f.loop.Now()-c.queuedAt < f.limits.Mute {
 			return false
 		}
 		if loop.Quiet(c.fd) {
@@ -361,6 +361,10 @@
 	if !math.IsInf(until, 1) {
 		c.f.loop.Set(c.timer, until)
 	}
+	// Clients that ask once and stay use up what their side may hold open long before descriptors run out here.
+	if p == between && c.f.idle.Len() > l.Idles {
+		c.f.shedFrom(&c.f.idle)
+	}
 }
 
 func (c *conn) unqueue() {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -49,7 +49,7 @@
 	s.Limits = site.Limits{Epoch: 3600, Members: 8, Clients: 8, Shared: 64, Dial: 100, Probe: 100, Late: 100, Watch: 1, Pause: 100,
 		LongPause: 100, Read: 1 << 16, Block: 4096, Answer: 1 << 17, Note: 1 << 10, Message: 1 << 16, Packet: 1000, Comment: 1 << 10,
 		Accepts: 8, Backlog: 64, Messages: 100, Pipeline: 8, Faults: 100, Away: 1 << 20, Unsent: 1 << 20, Wait: 1000, First: 100, Whole: 100,
-		Stall: 100, Spare: 100, Quiet: 100, Farewell: 100, Idle: 100}
+		Stall: 100, Idles: 100, Quiet: 100, Farewell: 100, Idle: 100}
 	change(&s.Limits)
 	blocks := buffer.NewPool(4096, 1<<20)
 	d.core = core.New(s, d.l, blocks, &d.count, zerolog.Nop())
@@ -145,7 +145,7 @@
 }
 
 func TestThoseThatNeverAskedMakeRoomFirst(t *testing.T) {
-	d := newDesk(t, func(l *site.Limits) { l.Clients, l.Spare = 2, 0 })
+	d := newDesk(t, func(l *site.Limits) { l.Clients = 2 })
 	_, asked := d.client(pg.Hello(nil), pg.Query(nil, ""))
 	d.run(func() bool { return d.f.idle.Len() == 1 })
 	_, silent := d.client()
@@ -156,6 +156,18 @@
 	assert.Empty(t, asked, "it asked, and stays")
 }
 
+func TestClientsThatAskOnceAndStayMakeRoom(t *testing.T) {
+	d := newDesk(t, func(l *site.Limits) { l.Idles = 2 })
+	_, first := d.client(pg.Hello(nil), pg.Query(nil, ""))
+	d.run(func() bool { return d.f.idle.Len() == 1 })
+	for range 2 {
+		d.client(pg.Hello(nil), pg.Query(nil, ""))
+	}
+	d.hear(first)
+	d.run(func() bool { return d.f.idle.Len() == 2 })
+	assert.EqualValues(t, 1, d.count.Shed)
+}
+
 func TestWhatMembersMustNotSeeIsAnErrorOfTheFront(t *testing.T) {
 	d := newDesk(t, func(*site.Limits) {})
 	d.client(pg.Hello(nil), query("a1", "c=look,d=300000"))
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -47,6 +47,7 @@
 	Unsent    int     // answers that a connection may owe before it is read again
 	Shared    int     // descriptors for clients and members together
 	Clients   int     // client connections
+	Idles     int     // of them between commands
 	Members   int     // member connections, or more while descriptors are free
 	Epoch     float64 // before the start from which positions count; the reason stands in core
 	Way       float64 // kept of a client's time for the answer's way: what one tick of the settings is
@@ -54,9 +55,8 @@
 	First     float64 // from a client's coming to its first whole query
 	Whole     float64 // from a message's first bytes to its last
 	Stall     float64 // that a client may leave an answer untaken
-	Spare     float64 // that a client is spared between commands when others need its descriptor
 	Quiet     float64 // after which a client between commands is closed
-	Mute      float64 // that a client is spared that has not asked yet, and that the listener rests when none makes room
+	Mute      float64 // that a client is spared when others need its descriptor, and that the listener rests if none makes room
 	Dial      float64 // that a connection may take to come up
 	Probe     float64 // that a probe may take
 	Idle      float64 // after which an idle member connection is closed
@@ -82,6 +82,7 @@
 	longestText     = 4  // characters that a byte of a value may be written with, in either direction
 	keptSockets     = 24 // for discovery, the listener, the run time
 	memberShare     = 3  // every third of the rest is for members
+	idleClients     = 8  // every eighth descriptor may be a client's between commands
 	idleShare       = 0.6
 	longestWait     = 10 // client timeouts of the deployment: what is longer is a mistake
 )
@@ -100,9 +101,9 @@
 		Packet: 10000, Comment: 1 << 10, Note: 8 << 10, Line: 8 << 10, Events: 256,
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Messages: 32, Pipeline: 64, Faults: 16, Away: 1 << 20,
 		Unsent: 4 * largestValue,
-		Shared: rest, Clients: rest - rest/memberShare, Members: rest / memberShare,
+		Shared: rest, Clients: rest - rest/memberShare, Idles: sockets / idleClients, Members: rest / memberShare,
 		Epoch: 3600, Way: told.Tick, Wait: longestWait * longest,
-		First: 2, Whole: 2, Stall: 10, Spare: 2, Quiet: 30, Mute: 0.01, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		First: 2, Whole: 2, Stall: 10, Quiet: 5, Mute: 0.01, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Rest: told.Tick, Ahead: 1,
 		Watch: 5, Late: 1, Pause: 0.05, LongPause: 1,
 		Linger: 0.5, Farewell: 1,
