A lost answer is tried again elsewhere while as much time is left as it had

A replayable command is now called off and tried at another member if five more foretold times fit before its horizon. Harm: a costly command runs twice.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,28 +68,25 @@
 
 // node is what this router knows of a member.
 type node struct {
-	set, zone           int
-	drains, listPrimary bool
-	started             float64
-	heardAt, pos        float64 // last sign with a position, and the highest position told
-	lag                 float64 // how far behind it was then
-	role                Role    // by its own word
-	roleAt              float64
-	goneAt              float64 // when the list dropped it; +Inf: it did not
-	out, legs           int     // dispatches in its foretold queue, and all that are out
-	idle                int     // connections that should stand open without a dispatch
-	unheard             int     // dispatches since its last answer
-	since               float64 // when the first of those was sent
-	fadedAt             float64
-	lat, places, done   float64 // fading sums over answers: time, places in its queue, number
-	bad, all            float64 // fading sums: failures, outcomes
-	sent                float64 // fading number of dispatches
-	lastGood            float64
-	trialAt, testAt     float64
-	probedAt            float64
-	budget, budgetAt    float64 // dispatches that a cold node may still get
-	shunned             bool    // was doubted, and has not answered since
-	downAt, lostAt      float64 // first and latest failed contact since its last answer; +Inf: none
+	set, zone                           int
+	drains, listPrimary                 bool
+	started, fadedAt                    float64
+	heardAt, pos                        float64 // last sign with a position, and the highest position told
+	lag                                 float64 // how far behind it was then
+	role                                Role    // by its own word
+	roleAt                              float64
+	goneAt                              float64 // when the list dropped it; +Inf: it did not
+	out, legs                           int     // dispatches in its foretold queue, and all that are out
+	idle                                int     // connections that should stand open without a dispatch
+	unheard                             int     // dispatches since its last answer
+	since                               float64 // when the first of those was sent
+	lat, places, done                   float64 // fading sums over answers: time, places in its queue, number
+	bad, all                            float64 // fading sums: failures, outcomes
+	sent                                float64 // fading number of dispatches
+	lastGood, trialAt, testAt, probedAt float64
+	budget, budgetAt                    float64 // dispatches that a cold node may still get
+	shunned                             bool    // was doubted, and has not answered since
+	downAt, lostAt                      float64 // first and latest failed contact since its last answer, or +Inf
 }
 
 // blank is a node of which nothing is known, a reused row too.
@@ -112,37 +109,35 @@
 
 // Router is one router's knowledge.
 type Router struct {
-	site              Site
-	groups            []group
-	nodes             []node
-	sets              []set
-	z, w              uint32
-	span, longest     float64 // the longest response target, and client timeout
-	fade              float64 // over which records fade
-	gap               float64 // between two looks at a node: the tightest bound or session target
-	lat               float64 // fleet's mean answer time
-	heard             float64 // answers so far
-	places            float64 // and of this router's places in a queue
-	base              float64 // fleet's mean work
-	median            float64 // fleet's median share of failures
-	dial              float64 // what a new connection costs, in time beyond an answer's
-	warmRate          float64 // dispatches a second that a warm node gets from this router
-	cmds              float64 // fading number of commands
-	look              float64 // between two probes of a member that is not heard,
-	retry             float64 // and of a doubted one
-	tryGap            float64 // between two trials of doubted nodes
-	wanted            []int   // nodes whose position a read in hand asks for
-	waitedAt, triedAt float64
+	site                        Site
+	groups                      []group
+	nodes                       []node
+	sets                        []set
+	z, w                        uint32
+	span, longest               float64 // the longest response target, and client timeout
+	fade                        float64 // over which records fade
+	gap                         float64 // between two looks at a node: the tightest bound or session target
+	lat                         float64 // fleet's mean answer time
+	heard                       float64 // answers so far
+	places                      float64 // and of this router's places in a queue
+	base                        float64 // fleet's mean work
+	median                      float64 // fleet's median share of failures
+	dial                        float64 // what a new connection costs, in time beyond an answer's
+	warmRate                    float64 // dispatches a second that a warm node gets from this router
+	cmds                        float64 // fading number of commands
+	look                        float64 // between two probes of a member that is not heard,
+	retry                       float64 // and of a doubted one
+	tryGap                      float64 // between two trials of doubted nodes
+	wanted                      []int   // nodes whose position a read in hand asks for
+	waitedAt, triedAt, turnedAt float64
 	// Sessions in two generations: the older is dropped whole, and raises its sets' floors.
-	young, old     map[uint64]session
-	turnedAt       float64
-	reads, spills  [spillSlots]float64
-	slotAt         int64
-	customers      []share
-	following      bool
-	followAt       float64
-	followFailures float64 // in a row
-	spare          []int
+	young, old               map[uint64]session
+	reads, spills            [spillSlots]float64
+	slotAt                   int64
+	customers                []share
+	following                bool
+	followAt, followFailures float64 // when the list may be asked for again; failures in a row
+	spare                    []int
 }
 
 // New returns a router that knows nothing but its site.
@@ -615,8 +610,8 @@
 	return n.shunned
 }
 
-// patience is how long a node may stay silent after a dispatch; lone lost answers do not count, nor silence that
-// costs little of the target: where answers are quick a long one among them doubted healthy nodes all day.
+// patience is how long a node may stay silent after a dispatch; lone lost answers do not count, nor silence
+// that costs little of the target: where answers are quick a long one among them doubted healthy nodes.
 func (r *Router) patience(n *node) float64 {
 	mean := cmp.Or(r.mean(n), testShare*r.span)
 	return math.Max(crowdSlack*r.span, mean*(1+quietAlone/float64(max(1, n.unheard))))
@@ -720,8 +715,11 @@
 		l.lost = true
 		n.out--
 	}
-	if r.site.Cancel && l.late && !l.recall && !r.dear() && g.Effect != Mutating &&
-		len(c.Legs) < r.site.Tries && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node) {
+	// With as much time left as it was given, a lost answer is worth another try. Harm: work done twice.
+	overdue := l.late && r.doubted(now, l.Node) || l.lost && g.Effect == Replayable &&
+		now+lostAfter*r.sojourn(l.Node, g) < r.horizon(c, g)
+	if r.site.Cancel && overdue && !l.recall && !r.dear() && g.Effect != Mutating &&
+		len(c.Legs) < r.site.Tries && r.elsewhere(now, c, g, l.Node) {
 		l.recall = true
 		a.Recall = i
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -615,3 +615,28 @@
 	a = r.After(11, c, Outcome{Ending: Full, Position: -1})
 	assert.NotEqual(t, Throttle, a.Verdict, "a member has had this one")
 }
+
+func TestShortSilenceDoubtsNobodyHoweverQuickAnswersAre(t *testing.T) {
+	r := testRouter(t, testSite())
+	n := &r.nodes[1]
+	n.lat, n.done, n.fadedAt = 0.02, 10, 10 // 2 ms each
+	n.unheard, n.since = 3, 10
+	assert.False(t, r.doubted(10.04, 1), "twenty answer times, but little of a target")
+	assert.True(t, r.doubted(10.06, 1))
+}
+
+func TestLostAnswerIsTriedAgainElsewhereInTime(t *testing.T) {
+	for left, again := range map[float64]bool{0.4: true, 0.02: false} {
+		r := testRouter(t, testSite())
+		for i := range r.nodes {
+			r.nodes[i].lat, r.nodes[i].done, r.nodes[i].fadedAt = 0.1, 10, 10 // 10 ms each
+		}
+		c := command(gAny)
+		c.GiveUp = 10.1 + left
+		require.Equal(t, Send, r.Place(10, c).Verdict)
+		n := &r.nodes[c.Legs[0].Node]
+		n.lastGood, n.unheard = 10.05, 0 // it has answered others since
+		a := r.Place(10.1, c)
+		assert.Equal(t, again, a.Recall == 0, "%v seconds are left", left)
+	}
+}
