A client's stay counts once half of its group leave early, not a tenth

Some 6 % of the clients leave within milliseconds there; a fading share of twenty outcomes crosses a tenth by chance, and then all commands of the group that would outlast that stay were refused, nine in ten of them from clients that stay. What most clients would have taken is worth sending; the exception acts from a half on. Harm: work for some that have left.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,7 +24,7 @@
 	roomShare   = 0.4     // of the tightest bearable queueing time; the rest waits at the router
 	blindShare  = 0.3     // more of it where targets bring fewer dispatches than
 	blindUnder  = 0.5     // this to a member: nothing is seen of its queue then
-	leaveShare  = 0.1     // of a group's clients leave before their time: then only their stay counts
+	leaveShare  = 0.5     // of a group's clients leave before their time: then only their stay counts
 	overCut     = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
 	shareDepth  = 4       // commands of a customer that may come at once within its share at one router
 	memorySpan  = 4       // longest response targets over which a node's pace fades; its health does in one,
