A lost keyed command is tried again, at the same member too

Keyed repeats stay in their set and within its memory (mayGoAgain), mutating ones are never called off.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -715,11 +715,11 @@
 		l.lost = true
 		n.out--
 	}
-	// With as much time left as it was given, a lost answer is worth another try. Harm: work done twice.
-	overdue := l.late && r.doubted(now, l.Node) || l.lost && g.Effect == Replayable &&
-		now+lostAfter*r.sojourn(l.Node, g) < r.horizon(c, g)
-	if r.site.Cancel && overdue && !l.recall && !r.dear() && g.Effect != Mutating &&
-		len(c.Legs) < r.site.Tries && r.elsewhere(now, c, g, l.Node) {
+	// With as much time left as it was given, a lost answer is worth another try, at the same node too: it
+	// is its connection that fell silent. Harm: work done twice.
+	lost := l.lost && now+lostAfter*r.sojourn(l.Node, g) < r.horizon(c, g)
+	if r.site.Cancel && !l.recall && !r.dear() && g.Effect != Mutating && len(c.Legs) < r.site.Tries &&
+		(lost || l.late && r.doubted(now, l.Node) && r.elsewhere(now, c, g, l.Node)) {
 		l.recall = true
 		a.Recall = i
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -640,3 +640,29 @@
 		assert.Equal(t, again, a.Recall == 0, "%v seconds are left", left)
 	}
 }
+
+func TestLostKeyedWriteGoesToThePrimaryAgain(t *testing.T) {
+	for effect, recall := range map[Effect]int{Keyed: 0, Mutating: -1} {
+		r := testRouter(t, testSite())
+		r.groups[gWrite].Effect = effect
+		r.nodes[0].lat, r.nodes[0].done, r.nodes[0].fadedAt = 0.1, 10, 10
+		c := command(gWrite)
+		require.Equal(t, 0, r.Place(10, c).Node)
+		r.nodes[0].lastGood, r.nodes[0].unheard = 10.05, 0
+		assert.Equal(t, recall, r.Place(10.1, c).Recall)
+		if effect == Keyed {
+			a := r.After(10.1, c, Outcome{Ending: Recalled, Position: -1})
+			assert.Equal(t, Send, a.Verdict)
+			assert.Equal(t, 0, a.Node, "its own set knows the key")
+		}
+	}
+}
+
+func TestFewEarlyLeaversDoNotCutOthersTime(t *testing.T) {
+	r := testRouter(t, testSite())
+	g := &r.groups[gAny]
+	g.left, g.stay = 0.2, 0.01
+	assert.Equal(t, 10.5, r.horizon(command(gAny), g))
+	g.left = 0.6
+	assert.Equal(t, 10.01, r.horizon(command(gAny), g))
+}
