--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -204,14 +204,10 @@
 	switch name {
 	case "id":
 		seen, st.ID = st.ID != "", value
-		if !hexadecimal(value) {
-			err = errors.New("it must be hexadecimal, and not longer than 32 digits")
-		}
+		err = hexadecimal(value)
 	case "k":
 		st.Keyed = true
-		if !hexadecimal(value) {
-			err = errors.New("it must be hexadecimal, and not longer than 32 digits")
-		}
+		err = hexadecimal(value)
 	case "c":
 		seen, st.hasGroup, st.Group = st.hasGroup, true, value
 	case "r":
@@ -239,13 +235,16 @@
 	return nil
 }
 
-// hexadecimal says whether a value can be an id: some digits, and no more than the longest ids in use have.
-func hexadecimal(value string) bool {
+// hexadecimal says what keeps a value from being an id or a key: it has some digits, and no more than the
+// longest in use.
+func hexadecimal(value string) error {
 	const most = 32
+	ok := value != "" && len(value) <= most
 	for _, c := range []byte(value) {
-		if c < '0' || c > '9' && c < 'A' || c > 'F' && c < 'a' || c > 'f' {
-			return false
-		}
+		ok = ok && (c >= '0' && c <= '9' || c >= 'A' && c <= 'F' || c >= 'a' && c <= 'f')
 	}
-	return value != "" && len(value) <= most
+	if !ok {
+		return fmt.Errorf("it must be hexadecimal, and not longer than %d digits", most)
+	}
+	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -178,8 +178,8 @@
 	if !cached {
 		r.following, r.followFailures = true, 0
 	}
-	for i := range r.nodes {
-		if whole {
+	if whole {
+		for i := range r.nodes {
 			r.nodes[i].goneAt = math.Min(r.nodes[i].goneAt, now)
 		}
 	}
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -100,7 +100,7 @@
 		Message: longestText*largestValue + blockSize, Answer: longestText*largestValue + blockSize, Page: 8 << 20,
 		Packet: 10000, Comment: 1 << 10, Note: 8 << 10, Line: 8 << 10, Events: 256,
 		Read: 64 << 10, Accepts: 64, Backlog: 1024, Messages: 32, Pipeline: 64, Faults: 16, Away: 1 << 20,
-		Unsent: 4 * largestValue,
+		Unsent: longestText * largestValue,
 		Shared: rest, Clients: rest - rest/memberShare, Idles: sockets / idleClients, Members: rest / memberShare,
 		Epoch: 3600, Way: told.Tick, Wait: longestWait * longest,
 		First: 2, Whole: 2, Stall: 10, Quiet: 5, Mute: 0.01, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
