--- /dev/null
+++ b/internal/sexp/sexp_test.go
@@ -0,0 +1,135 @@
+package sexp
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+type item struct {
+	Name string         `sexp:",name"`
+	At   netip.AddrPort `sexp:"at,must"`
+	Tags []string       `sexp:"tags"`
+}
+
+type whole struct {
+	Count int     `sexp:"count"`
+	Share float64 `sexp:"share"`
+	On    bool    `sexp:"on"`
+	Wait  Seconds `sexp:"wait"`
+	Times struct {
+		Soak Seconds `sexp:"soak,must"`
+	} `sexp:"times"`
+	Items []item `sexp:"item"`
+}
+
+const sample = `; a comment
+(count 3) (share 0.5) (on yes) (wait 250ms)
+(times (soak 2m))
+(item a (at "127.0.0.1:80") (tags x "y z"))
+(item "b ;" (at 127.0.0.1:81))`
+
+func decodeText(text string) (whole, error) {
+	var w whole
+	nodes, err := Read("f", []byte(text))
+	if err == nil {
+		err = Decode("f", nodes, &w)
+	}
+	return w, err
+}
+
+func TestValuesAreDecoded(t *testing.T) {
+	w, err := decodeText(sample)
+	require.NoError(t, err)
+	assert.Equal(t, 3, w.Count)
+	assert.True(t, w.On)
+	assert.Equal(t, Seconds(0.25), w.Wait)
+	assert.Equal(t, Seconds(120), w.Times.Soak)
+	require.Len(t, w.Items, 2)
+	assert.Equal(t, []string{"x", "y z"}, w.Items[0].Tags)
+	assert.Equal(t, "b ;", w.Items[1].Name)
+	again, err := decodeText(string(Print(Encode(&w))))
+	require.NoError(t, err)
+	assert.Equal(t, w, again)
+}
+
+func TestFaultsNamePlaceAndKey(t *testing.T) {
+	for text, says := range map[string]string{
+		"(cuont 3)":                    `f:1:2: the file has no key "cuont"; did you mean count?`,
+		"(zzzzzzz 3)":                  `it has count, item, on, share, times, wait`,
+		"\n (count three)":             `f:2:9: count wants a whole number, not "three"`,
+		"(count 3)\n(count 4)":         "f:2:1: count is given twice, first on line 1",
+		"(count)":                      "count wants one value, and has 0",
+		"(on maybe)":                   `on wants yes or no, not "maybe"`,
+		"(wait 5)":                     `wait wants a time such as 250ms, 5s or 2m, not "5"`,
+		"(wait -5s)":                   "wait wants a time",
+		"(share (1))":                  "f:1:8: share wants a number, not a list",
+		"(times)":                      "f:1:1: times lacks the key soak",
+		"(item (at 127.0.0.1:80))":     "item wants a name",
+		"(item a)":                     "f:1:1: item lacks the key at",
+		"(item a (at here))":           "f:1:13: at: ",
+		"count":                        "holds entries of the form",
+		"(count 3":                     "f:1:1: this bracket is never closed",
+		"\n  )":                        "f:2:3: this bracket closes nothing",
+		"(wait \"x":                    "f:1:7: this string is never closed",
+		`(wait "\q")`:                  `f:1:7: unknown escape \q`,
+		`(wait "\xz")`:                 "two hexadecimal digits",
+		strings.Repeat("(", Deepest+1): "nest more than",
+	} {
+		_, err := decodeText(text)
+		if assert.Error(t, err, text) {
+			assert.Contains(t, err.Error(), says)
+			var f *Fault
+			assert.ErrorAs(t, err, &f)
+		}
+	}
+	_, err := Read("f", make([]byte, Longest+1))
+	assert.ErrorContains(t, err, "at most")
+}
+
+func bareOf(nodes []Node) []Node {
+	out := append([]Node{}, nodes...)
+	for i := range out {
+		out[i].Place, out[i].List = Place{}, bareOf(out[i].List)
+	}
+	return out
+}
+
+func TestWhatIsPrintedReadsBackTheSame(t *testing.T) {
+	node := rapid.Deferred(func() *rapid.Generator[Node] { return nodes(4) })
+	rapid.Check(t, func(t *rapid.T) {
+		want := rapid.SliceOfN(node, 0, 5).Draw(t, "nodes")
+		got, err := Read("f", Print(want))
+		require.NoError(t, err)
+		assert.Equal(t, bareOf(want), bareOf(got))
+	})
+}
+
+func nodes(deep int) *rapid.Generator[Node] {
+	return rapid.Custom(func(t *rapid.T) Node {
+		if deep == 0 || rapid.Bool().Draw(t, "text") {
+			n := Atom(rapid.String().Draw(t, "atom"))
+			n.Quoted = n.Quoted || rapid.Bool().Draw(t, "quoted")
+			return n
+		}
+		return List(rapid.SliceOfN(nodes(deep-1), 0, 6).Draw(t, "list")...)
+	})
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Add([]byte(`("\x00\\" a;b` + "\n)"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		got, err := Read("f", text)
+		if err != nil {
+			return
+		}
+		again, err := Read("f", Print(got))
+		require.NoError(t, err)
+		assert.Equal(t, bareOf(got), bareOf(again))
+	})
+}
