--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -151,6 +151,7 @@
 	CannotGoBack      // Instance's way back failed as well, or it ran nothing before
 	LeftOut           // Have instances were left out
 	KeepsDying        // Instance's agent died before acting, Have times in a row
+	Refused           // Instance's agent will not begin the step
 	NothingToDo       // nothing to be done
 )
 
@@ -405,11 +406,7 @@
 	case !begun && s.Last.Number != 0 && s.End == Open:
 		return p.patience(now, Reason{Kind: Busy, Instance: i}, t.Contact), false
 	case !begun:
-		d := p.patience(now, Reason{Kind: Unresolved, Instance: i}, t.Step)
-		if d.What == Wait {
-			d.What, d.Step = Repeat, step
-		}
-		return d, false
+		return p.send(now, sights), false
 	case s.End == Open:
 		return p.patience(now, Reason{Kind: Unresolved, Instance: i}, t.Step), false
 	case s.End == Undone:
@@ -426,6 +423,30 @@
 	return p.soak(now, i, s)
 }
 
+// Refused pauses because the agent of the step under way will not begin it. The step stays on record.
+func (p *Planner) Refused(detail string) Decision {
+	return p.finish(Paused, Reason{Kind: Refused, Instance: p.Rollout.Step.Instance, Detail: detail})
+}
+
+// send has the step under way sent, if it may still be: what was seen when it was decided, perhaps by another
+// tool, need no longer hold.
+func (p *Planner) send(now float64, sights []Sight) Decision {
+	i := p.Rollout.Step.Instance
+	why := p.obstacle(now, sights)
+	if why.Kind == NoReason && p.serving(&sights[i], now) {
+		serving := p.Fleet.count(func(j int) bool { return p.serving(&sights[j], now) })
+		why = p.Fleet.floors(serving, p.Fleet.Instances[i].Hall)
+	}
+	if why.Kind != NoReason {
+		return p.patience(now, why, p.Fleet.Times.Contact)
+	}
+	d := p.patience(now, Reason{Kind: Unresolved, Instance: i}, p.Fleet.Times.Step)
+	if d.What == Wait {
+		d.What, d.Step = Repeat, p.Rollout.Step
+	}
+	return d
+}
+
 // soak sees a changed instance serve before the next is touched.
 func (p *Planner) soak(now float64, i int, s *Sight) (Decision, bool) {
 	switch {
--- /dev/null
+++ b/internal/fleet/roll/roll.go
@@ -0,0 +1,723 @@
+// Package roll drives a rollout from an operator's side: it joins the claim (package claim) and the decisions
+// (package plan) to the messages of package form, without a socket or a clock. What is to be sent comes back
+// as values; answers and failures are handed in. It can die at any point: what it was doing is in the record
+// that a majority of agents keeps, and another driver goes on from there.
+//
+// An agent's word counts only once it has granted this driver's epoch, for only then is it sure that no
+// earlier holder can still begin anything there.
+package roll
+
+import (
+	"math"
+	"slices"
+
+	"stoatdale.example/stoatdale/internal/fleet/claim"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+)
+
+// Verb is what an operator wants of a rollout.
+type Verb int
+
+// Verbs.
+const (
+	Begin    Verb = iota // a new one
+	Resume               // the one that paused, or whose tool is gone
+	Rollback             // the newest goes back
+	Halt                 // it pauses
+	Abandon              // it is given up as it stands
+)
+
+// Task is what a driver is for.
+type Task struct {
+	Verb     Verb
+	Rollout  form.Rollout // for Begin: ID, Revision, Restart, Name, By, Began, Fleet
+	By       string
+	Fleet    string // digest of the list of instances
+	Takeover bool   // also from a holder whose claim still runs
+	LeaveOut []int  // by word; it holds for this run only
+}
+
+// Times are in seconds.
+type Times struct {
+	Period float64 // between two looks at an agent, and before anything is said again
+	Giving float64 // up on a majority that does not come
+}
+
+// Send is a call to be made. ID names it in Heard and Failed.
+type Send struct {
+	ID    uint64
+	Agent int
+	Call  form.Call
+}
+
+// Kind of an outcome.
+type Kind int
+
+// Kinds of outcomes. All but Ended mean that the rollout was not touched, or not any more, by this driver.
+const (
+	Ended        Kind = iota // Rollout.State says how
+	Held                     // another holds the claim
+	NoMajority               // of agents can be heard, or grants
+	Unfinished               // another rollout is under way or paused
+	Impossible               // Reason: floors allow no step
+	NothingThere             // no rollout to go on with
+	OtherFleet               // the rollout goes over another list of instances
+	Fenced                   // the claim was taken over by Holder
+)
+
+// Outcome is how a driver ended.
+type Outcome struct {
+	Kind    Kind
+	Rollout form.Rollout
+	Holder  claim.Standing
+	Reason  plan.Reason
+	Faults  []string // what agents gave as reasons, for people
+}
+
+// Event is something that has come about, for a live view and traces.
+type Event struct {
+	At       float64
+	What     plan.What
+	Rollout  form.Rollout
+	Why      plan.Reason
+	Step     plan.Step // begun or settled
+	Claimed  uint64    // the epoch, when one was won
+	Refusals string    // an agent's words
+}
+
+type phase int
+
+const (
+	asking phase = iota
+	bidding
+	resting // after a bid that was lost to nobody
+	running
+	releasing
+	over
+)
+
+const (
+	bids     = 6 // in a row that may be lost to nobody
+	refusals = 3 // of a step by its agent, in a row, before the rollout pauses
+)
+
+// agent is what is known of one.
+type agent struct {
+	heard    bool // in this phase
+	granted  bool // the epoch
+	standing claim.Standing
+	record   claim.Record
+	wish     form.Wish
+	fault    string
+	looking  uint64 // call that is out, or 0
+	saying   uint64
+	next     float64 // look
+	again    float64 // say
+	kept     bool    // the record that is being kept
+	released bool
+}
+
+type out struct {
+	agent int
+	verb  form.Verb
+	sent  float64
+	epoch uint64
+	stamp claim.Stamp
+	step  uint64
+}
+
+// Driver drives one rollout.
+type Driver struct {
+	fleet  *plan.Fleet
+	names  []string
+	list   string // digest of the list of agents
+	holder string
+	times  Times
+	task   Task
+	chance func() float64
+
+	phase    phase
+	since    float64 // the phase
+	tries    int
+	campaign *claim.Campaign
+	agents   []agent
+	byAgent  [][]int // instances
+	calls    map[uint64]out
+	last     uint64 // ID
+	outcome  Outcome
+
+	planner *plan.Planner
+	rollout form.Rollout
+	sights  []plan.Sight
+	told    []form.Told
+	number  uint64 // of the record kept last, in this epoch
+	keeping *keeping
+	acting  plan.Step // to be sent
+	actAt   float64
+	refused int
+	majorAt float64 // a majority was last heard of in this epoch
+	events  []Event
+}
+
+// keeping is a record on its way to a majority.
+type keeping struct {
+	record  claim.Record
+	rollout form.Rollout
+	what    plan.What
+	why     plan.Reason
+	step    plan.Step
+}
+
+// New is a driver that has sent nothing. names are the instances', agents how many there are, list the digest
+// of the list of them; holder must be this driver's alone. chance draws from 0 to 1.
+func New(f *plan.Fleet, names []string, agents int, list, holder string, t Times, task Task, chance func() float64) *Driver {
+	d := &Driver{fleet: f, names: names, list: list, holder: holder, times: t, task: task, chance: chance,
+		agents: make([]agent, agents), byAgent: make([][]int, agents), calls: map[uint64]out{},
+		sights: make([]plan.Sight, len(names)), told: make([]form.Told, len(names))}
+	slices.Sort(d.task.LeaveOut)
+	for i, x := range f.Instances {
+		d.byAgent[x.Agent] = append(d.byAgent[x.Agent], i)
+		d.sights[i].Seen = math.Inf(-1)
+	}
+	return d
+}
+
+// Over tells whether the driver has ended, and how.
+func (d *Driver) Over() (Outcome, bool) { return d.outcome, d.phase == over }
+
+// Events returns what has come about since the last call.
+func (d *Driver) Events() []Event {
+	e := d.events
+	d.events = nil
+	return e
+}
+
+// View is how the rollout stands, for people.
+type View struct {
+	Rollout   form.Rollout
+	Finished  int
+	Serving   int
+	Instances []form.Told
+	Epoch     uint64
+	Why       plan.Reason // of the wait
+}
+
+// View tells how things stand now.
+func (d *Driver) View(now float64) View {
+	v := View{Rollout: d.rollout, Instances: d.told}
+	if d.planner != nil {
+		v.Finished, v.Serving = d.planner.Finished(d.sights), d.planner.Serving(now, d.sights)
+		v.Epoch = d.campaign.Bid.Epoch
+	}
+	return v
+}
+
+func (d *Driver) send(now float64, a int, c form.Call) Send {
+	d.last++
+	o := out{agent: a, verb: c.Verb, sent: now, stamp: c.Record.Stamp, step: c.Step.Number, epoch: c.Epoch}
+	if c.Verb == form.Bid {
+		o.epoch = c.Bid.Epoch
+	}
+	d.calls[d.last] = o
+	if c.Verb == form.Look || c.Verb == form.Bid {
+		d.agents[a].looking = d.last
+	} else {
+		d.agents[a].saying = d.last
+	}
+	c.Agents = d.list
+	return Send{d.last, a, c}
+}
+
+func (d *Driver) enter(now float64, p phase) {
+	d.phase, d.since = p, now
+	for i := range d.agents {
+		a := &d.agents[i]
+		// What is still out belongs to the phase before, and is not waited for.
+		a.heard, a.looking, a.saying, a.next, a.again, a.fault = false, 0, 0, now, now, ""
+		if p == bidding {
+			a.granted, a.kept = false, false
+		}
+	}
+	clear(d.calls)
+}
+
+// Tick returns the calls that are due, and when to ask again at the latest.
+func (d *Driver) Tick(now float64) ([]Send, float64) {
+	var sends []Send
+	wake := now + d.times.Period
+	switch d.phase {
+	case asking, bidding:
+		d.count(now)
+	case resting:
+		if now >= d.since {
+			d.enter(now, asking)
+		}
+	case running:
+		d.decide(now)
+	case releasing:
+		d.released(now)
+	}
+	if d.phase == over || d.phase == resting {
+		return nil, wake
+	}
+	for i := range d.agents {
+		if c, due := d.look(now, i); due {
+			sends = append(sends, d.send(now, i, c))
+		}
+		if c, due := d.say(now, i); due {
+			sends = append(sends, d.send(now, i, c))
+		}
+		wake = min(wake, max(d.agents[i].next, now+d.times.Period/4))
+	}
+	return sends, wake
+}
+
+// look is the call that learns how an agent stands.
+func (d *Driver) look(now float64, i int) (form.Call, bool) {
+	a := &d.agents[i]
+	if a.looking != 0 || now < a.next {
+		return form.Call{}, false
+	}
+	switch d.phase {
+	case asking:
+		if !a.heard {
+			return form.Call{Verb: form.Look}, true
+		}
+	case bidding:
+		if !a.heard {
+			return form.Call{Verb: form.Bid, Bid: d.campaign.Bid}, true
+		}
+	case running:
+		if !a.granted {
+			return form.Call{Verb: form.Bid, Bid: d.campaign.Bid}, true
+		}
+		return form.Call{Verb: form.Look, Epoch: d.campaign.Bid.Epoch, Holder: d.holder}, true
+	}
+	return form.Call{}, false
+}
+
+// say is the call that changes something.
+func (d *Driver) say(now float64, i int) (form.Call, bool) {
+	a := &d.agents[i]
+	if a.saying != 0 || now < a.again {
+		return form.Call{}, false
+	}
+	epoch := uint64(0)
+	if d.campaign != nil {
+		epoch = d.campaign.Bid.Epoch
+	}
+	switch {
+	case d.phase == releasing && !a.released:
+		return form.Call{Verb: form.Release, Epoch: epoch, Holder: d.holder}, true
+	case d.phase != running || !a.granted:
+	case d.keeping != nil && !a.kept:
+		return form.Call{Verb: form.Keep, Epoch: epoch, Holder: d.holder, Record: d.keeping.record}, true
+	case d.acting.Number != 0 && d.fleet.Instances[d.acting.Instance].Agent == i && now >= d.actAt:
+		step := d.acting
+		d.acting, d.actAt = plan.Step{}, now+d.times.Period
+		return form.Call{Verb: form.Act, Epoch: epoch, Holder: d.holder, Name: d.names[step.Instance], Step: step}, true
+	}
+	return form.Call{}, false
+}
+
+// take gives a call's agent free again. A call that is no longer waited for is not known.
+func (d *Driver) take(now float64, id uint64) (out, *agent, bool) {
+	o, ok := d.calls[id]
+	if !ok {
+		return o, nil, false
+	}
+	delete(d.calls, id)
+	a := &d.agents[o.agent]
+	if a.looking == id {
+		a.looking, a.next = 0, now+d.times.Period
+	}
+	if a.saying == id {
+		a.saying = 0
+	}
+	return o, a, true
+}
+
+// Failed tells that a call had no answer. What it asked for may have been done.
+func (d *Driver) Failed(now float64, id uint64, why string) {
+	o, a, ok := d.take(now, id)
+	if !ok {
+		return
+	}
+	a.fault = why
+	a.again = now + d.times.Period
+	switch {
+	case d.phase == asking:
+		a.heard = true
+	case d.phase == bidding:
+		a.heard = true
+		d.campaign.Gone(o.agent)
+	case d.phase == releasing:
+		a.released = true
+	}
+}
+
+// Heard takes an answer in.
+func (d *Driver) Heard(now float64, id uint64, r form.Reply) {
+	o, a, ok := d.take(now, id)
+	if !ok {
+		return
+	}
+	a.standing, a.fault = r.Standing, r.Fault
+	if o.verb == form.Look {
+		a.wish = r.Wish
+		d.see(o, r)
+	}
+	switch d.phase {
+	case asking:
+		a.heard, a.record = true, r.Record
+	case bidding:
+		a.heard = true
+		a.granted = r.Refusal == claim.Granted
+		d.campaign.Heard(o.agent, r.Refusal, r.Standing, r.Record)
+	case releasing:
+		a.released = true
+	case running:
+		d.answered(now, o, a, r)
+	}
+}
+
+func (d *Driver) answered(now float64, o out, a *agent, r form.Reply) {
+	epoch := d.campaign.Bid.Epoch
+	switch {
+	case o.epoch != epoch:
+		return
+	case r.Standing.Epoch > epoch || r.Refusal == claim.LowerEpoch:
+		// Somebody bid higher: either the claim is theirs, or they failed and this driver must bid again.
+		a.granted = false
+		d.bid(now, max(r.Standing.Epoch, epoch)+1, false)
+		return
+	case r.Refusal != claim.Granted:
+		a.granted = false // its claim ran out there, or it was never granted: bid there anew
+		a.again = now + d.times.Period
+		if r.Refusal == claim.RanOut {
+			d.bid(now, epoch+1, false)
+		}
+		return
+	}
+	switch o.verb {
+	case form.Bid:
+		a.granted, a.next = true, now
+	case form.Keep:
+		if d.keeping != nil && o.stamp == d.keeping.record.Stamp {
+			a.kept = true
+			d.commit(now)
+		}
+	case form.Act:
+		if r.Fault == "" {
+			d.refused = 0
+			a.next = now
+			return
+		}
+		d.events = append(d.events, Event{At: now, Refusals: r.Fault, Step: d.rollout.Step, Rollout: d.rollout})
+		if d.refused++; d.refused >= refusals && d.keeping == nil && o.step == d.rollout.Step.Number {
+			d.follow(now, d.planner.Refused(r.Fault))
+		}
+	}
+}
+
+// see takes in what an agent tells of its instances. In a run it counts only from an agent that has granted
+// the epoch, and it is as old as the call at least.
+func (d *Driver) see(o out, r form.Reply) {
+	if d.phase == running && (r.Refusal != claim.Granted || o.epoch != d.campaign.Bid.Epoch) {
+		return
+	}
+	for _, i := range d.byAgent[o.agent] {
+		for _, t := range r.Instances {
+			if t.Name == d.names[i] {
+				d.told[i] = t
+				d.sights[i] = t.Sight
+				d.sights[i].Seen = o.sent - t.Age
+			}
+		}
+	}
+}
+
+func (d *Driver) bid(now float64, epoch uint64, takeover bool) {
+	d.campaign = claim.NewCampaign(claim.Bid{Epoch: epoch, Holder: d.holder, Takeover: takeover}, len(d.agents))
+	d.keeping, d.acting = nil, plan.Step{}
+	for i := range d.sights {
+		d.sights[i].Seen = math.Inf(-1) // what was seen under another epoch says nothing of this one
+	}
+	d.enter(now, bidding)
+}
+
+// count looks whether enough was heard in the phases that gather answers. An agent that says nothing is given
+// up when its call fails.
+func (d *Driver) count(now float64) {
+	heard, reached := 0, 0
+	for i := range d.agents {
+		if d.agents[i].heard {
+			heard++
+			if d.agents[i].fault == "" {
+				reached++
+			}
+		}
+	}
+	if d.phase == asking {
+		if heard < len(d.agents) {
+			return
+		}
+		if reached < claim.Majority(len(d.agents)) {
+			d.finish(Outcome{Kind: NoMajority})
+			return
+		}
+		top, holder, blocked := d.standings()
+		first := d.planner == nil
+		if blocked && !(first && d.task.Takeover) {
+			kind := Held
+			if !first {
+				kind = Fenced
+			}
+			d.finish(Outcome{Kind: kind, Holder: holder, Rollout: d.newest()})
+			return
+		}
+		d.bid(now, top+1, first && d.task.Takeover)
+		return
+	}
+	switch d.campaign.Result() {
+	case claim.Won:
+		if heard == len(d.agents) {
+			d.won(now)
+		}
+	case claim.Lost:
+		if heard == len(d.agents) {
+			d.lost(now)
+		}
+	}
+}
+
+// standings tells the highest epoch, and who else holds a claim: of a majority, which makes it whole.
+func (d *Driver) standings() (top uint64, holder claim.Standing, blocked bool) {
+	held := map[string]int{}
+	for i := range d.agents {
+		s := d.agents[i].standing
+		top = max(top, s.Epoch)
+		if s.Held && s.Holder != d.holder {
+			if held[s.Holder]++; s.Left > holder.Left || holder.Holder == "" {
+				holder = s
+			}
+			blocked = blocked || held[s.Holder] >= claim.Majority(len(d.agents))
+		}
+	}
+	return top, holder, blocked
+}
+
+// newest is the newest record that any agent told of, for people: no majority stands behind it.
+func (d *Driver) newest() form.Rollout {
+	var best claim.Record
+	for i := range d.agents {
+		if best.Stamp.Before(d.agents[i].record.Stamp) {
+			best = d.agents[i].record
+		}
+	}
+	var r form.Rollout
+	if best.Body != nil {
+		_ = form.Decode("record", best.Body, &r) // one that cannot be read is shown as none
+	}
+	return r
+}
+
+func (d *Driver) lost(now float64) {
+	_, holder, blocked := d.standings()
+	switch {
+	case blocked && d.planner != nil:
+		d.release(now, Outcome{Kind: Fenced, Holder: holder, Rollout: d.rollout})
+	case blocked:
+		d.release(now, Outcome{Kind: Held, Holder: holder, Rollout: d.newest()})
+	case d.tries >= bids:
+		d.release(now, Outcome{Kind: NoMajority, Holder: holder, Rollout: d.rollout})
+	default: // lost to nobody: two bid at once, or too few can be heard
+		d.tries++
+		d.release(now, Outcome{Kind: NoMajority})
+	}
+}
+
+// release gives back what was granted, and then the driver ends, or bids again after a while.
+func (d *Driver) release(now float64, o Outcome) {
+	d.outcome = o
+	d.enter(now, releasing)
+	for i := range d.agents {
+		d.agents[i].released = !d.agents[i].granted
+	}
+	d.released(now)
+}
+
+func (d *Driver) released(now float64) {
+	for i := range d.agents {
+		if !d.agents[i].released {
+			return
+		}
+	}
+	if d.outcome.Kind == NoMajority && d.tries > 0 && d.tries < bids && d.planner == nil {
+		d.phase, d.since = resting, now+d.times.Period*(0.2+d.chance()*float64(int(1)<<d.tries))
+		return
+	}
+	if d.outcome.Kind == NoMajority && d.planner != nil && now-d.majorAt < d.times.Giving {
+		d.phase, d.since = resting, now+d.times.Period*(0.2+d.chance())
+		return
+	}
+	d.finish(d.outcome)
+}
+
+func (d *Driver) finish(o Outcome) {
+	for i := range d.agents {
+		if d.agents[i].fault != "" {
+			o.Faults = append(o.Faults, d.agents[i].fault)
+		}
+	}
+	slices.Sort(o.Faults)
+	o.Faults = slices.Compact(o.Faults)
+	d.outcome, d.phase = o, over
+}
+
+// won starts a run under an epoch: with what the newest record says, changed as the task wants it.
+func (d *Driver) won(now float64) {
+	d.tries, d.majorAt = 0, now
+	d.events = append(d.events, Event{At: now, Claimed: d.campaign.Bid.Epoch})
+	var r form.Rollout
+	if rec := d.campaign.Record(); rec.Body != nil {
+		if err := form.Decode("record", rec.Body, &r); err != nil {
+			d.release(now, Outcome{Kind: NothingThere, Reason: plan.Reason{Detail: err.Error()}})
+			return
+		}
+	}
+	again := d.planner != nil // the same run under a higher epoch
+	if again && (r.ID != d.rollout.ID || r.Run != d.rollout.Run) {
+		d.release(now, Outcome{Kind: Fenced, Rollout: r})
+		return
+	}
+	if !again {
+		var stop *Outcome
+		if r, stop = d.begun(r); stop != nil {
+			d.release(now, *stop)
+			return
+		}
+	}
+	d.planner = plan.NewPlanner(d.fleet, r.Rollout)
+	d.rollout = r
+	d.number = 0
+	d.enter(now, running)
+	d.keep(now, r, plan.Wait, plan.Reason{})
+}
+
+// begun is the rollout as the task wants it, or why there is none.
+func (d *Driver) begun(r form.Rollout) (form.Rollout, *Outcome) {
+	existed := r.ID != ""
+	if d.task.Verb == Begin {
+		if existed && !r.State.Over() {
+			return r, &Outcome{Kind: Unfinished, Rollout: r}
+		}
+		if why := plan.Possible(d.fleet, d.task.LeaveOut); why.Kind != plan.NoReason {
+			return r, &Outcome{Kind: Impossible, Reason: why}
+		}
+		r = d.task.Rollout
+		r.State, r.Run, r.Out = plan.Running, 1, d.task.LeaveOut
+		return r, nil
+	}
+	switch {
+	case !existed || d.task.Verb != Rollback && r.State.Over():
+		return r, &Outcome{Kind: NothingThere, Rollout: r}
+	case r.Fleet != d.task.Fleet:
+		return r, &Outcome{Kind: OtherFleet, Rollout: r}
+	}
+	r.Run++
+	r.Undone = 0
+	switch d.task.Verb {
+	case Halt:
+		r.State, r.Asked, r.Why = plan.Paused, d.task.By, plan.Reason{Kind: plan.ByWord}
+		return r, nil
+	case Abandon:
+		r.State, r.Asked, r.Why = plan.Aborted, d.task.By, plan.Reason{Kind: plan.ByWord}
+		return r, nil
+	case Rollback:
+		if !r.Back {
+			r.Back, r.Why = true, plan.Reason{Kind: plan.ByWord}
+		}
+		r.Asked = d.task.By
+	}
+	if why := plan.Possible(d.fleet, d.task.LeaveOut); why.Kind != plan.NoReason {
+		return r, &Outcome{Kind: Impossible, Reason: why, Rollout: r}
+	}
+	r.State, r.Out = plan.Running, d.task.LeaveOut
+	return r, nil
+}
+
+// keep has a rollout kept by a majority; commit goes on from there.
+func (d *Driver) keep(now float64, r form.Rollout, what plan.What, why plan.Reason) {
+	d.number++
+	d.keeping = &keeping{what: what, why: why, step: d.planner.Rollout.Step, rollout: r, record: claim.Record{
+		Stamp: claim.Stamp{Epoch: d.campaign.Bid.Epoch, Number: d.number}, Body: form.Encode(r)}}
+	for i := range d.agents {
+		d.agents[i].kept, d.agents[i].again = false, now
+	}
+}
+
+// follow has a decision kept.
+func (d *Driver) follow(now float64, dec plan.Decision) {
+	r := d.rollout
+	r.Rollout = dec.Rollout
+	if dec.Why.Kind == plan.ByWord {
+		r.Asked = d.wish().By
+	}
+	d.keep(now, r, dec.What, dec.Why)
+}
+
+func (d *Driver) commit(now float64) {
+	kept := 0
+	for i := range d.agents {
+		if d.agents[i].kept {
+			kept++
+		}
+	}
+	if kept < claim.Majority(len(d.agents)) {
+		return
+	}
+	k := d.keeping
+	d.keeping = nil
+	d.rollout, d.planner.Rollout, d.majorAt = k.rollout, k.rollout.Rollout, now
+	step := k.step
+	if k.what == plan.Begin {
+		step = k.rollout.Step
+		d.actAt, d.refused = now, 0 // the planner has it sent, if it may still be
+	}
+	d.events = append(d.events, Event{At: now, What: k.what, Rollout: d.rollout, Why: k.why, Step: step})
+	if d.rollout.State != plan.Running {
+		d.release(now, Outcome{Kind: Ended, Rollout: d.rollout, Reason: d.rollout.Why})
+	}
+}
+
+func (d *Driver) wish() form.Wish {
+	var best form.Wish
+	for i := range d.agents {
+		if w := d.agents[i].wish; w.Rollout == d.rollout.ID && w.Run == d.rollout.Run && w.Wish > best.Wish {
+			best = w
+		}
+	}
+	return best
+}
+
+// decide asks the planner once nothing is being kept.
+func (d *Driver) decide(now float64) {
+	if d.keeping != nil {
+		if now-d.majorAt >= d.times.Giving {
+			d.release(now, Outcome{Kind: NoMajority, Rollout: d.rollout})
+		}
+		return
+	}
+	d.majorAt = now
+	switch dec := d.planner.Next(now, d.sights, d.wish().Wish); dec.What {
+	case plan.Wait:
+	case plan.Repeat:
+		if now >= d.actAt {
+			d.acting = dec.Step
+		}
+	default:
+		d.follow(now, dec)
+	}
+}
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -132,6 +132,11 @@
 // wins, since the environment still holds what the process was started with.
 func Reload(env func(string) string) (Start, error) { return read(env, false) }
 
+// Parse reads a document as Load does, with nothing from the environment, for whoever hands routers theirs.
+func Parse(raw []byte) (Start, error) {
+	return parse(raw, func(string) string { return "" }, true)
+}
+
 func read(env func(string) string, agree bool) (Start, error) {
 	path := env("GW_CONFIG")
 	if path == "" {
@@ -141,6 +146,10 @@
 	if err != nil {
 		return Start{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
+	return parse(raw, env, agree)
+}
+
+func parse(raw []byte, env func(string) string, agree bool) (Start, error) {
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Start{}, fmt.Errorf("GW_CONFIG: %w", err)
