--- a/internal/drill/claims.go
+++ b/internal/drill/claims.go
@@ -29,7 +29,7 @@
 var ClaimFaults = map[string]string{
 	"unfenced": "agents carry out a step whoever asks for it, under any epoch",
 	"forget":   "agents that start again have forgotten what they promised",
-	"blind":    "tools take what they saw once for what is so now",
+	"unkept":   "agents say that they keep records, and do not",
 }
 
 // ClaimsReport is how it went.
@@ -90,9 +90,10 @@
 	limits tend.Limits
 	agents []*actor
 	tools  []*tool
-	spoken int // holders so far
+	spoken int         // holders so far
+	kept   claim.Stamp // newest record that a majority was said to keep
 	ops    []porcupine.Operation
-	acts   map[string]float64 // when the record of a step began to be kept, by holder and number
+	acts   map[string]int64 // when the record of a step began to be kept, by holder and number
 }
 
 // actor is an agent and its one router.
@@ -121,7 +122,8 @@
 	driver  *roll.Driver
 	holder  string
 	life    int
-	bidding float64
+	bidding int64       // when it first bid
+	found   claim.Stamp // kept by then
 	last    form.Rollout
 	alarm   float64
 }
@@ -148,14 +150,11 @@
 }
 
 func newTheatre(c Claims, n int, r *ClaimsReport) *theatre {
-	w := &theatre{Claims: c, n: n, report: r, rng: rand.New(rand.NewPCG(c.Seed, uint64(n))), acts: map[string]float64{},
+	w := &theatre{Claims: c, n: n, report: r, rng: rand.New(rand.NewPCG(c.Seed, uint64(n))), acts: map[string]int64{},
 		limits: tend.DefaultLimits()}
 	w.limits.Probe, w.limits.Count, w.limits.Settle = 0.2, 5, 1
 	count := 3 + w.rng.IntN(3)
 	w.fleet = &plan.Fleet{Halls: []int{0}, Floor: 1, Times: plan.Times{Soak: 0.3, Fresh: 1.5, Contact: 6, Step: 20}}
-	if c.Break == "blind" {
-		w.fleet.Times.Fresh = 1e9
-	}
 	for i := range count {
 		w.fleet.Instances = append(w.fleet.Instances, plan.Instance{Agent: i})
 		w.names = append(w.names, fmt.Sprint("n", i))
@@ -340,16 +339,16 @@
 	d := a.desk.Claims
 	call, known := w.acts[fmt.Sprint(d.Epoch, r.Step.Rollout, r.Step.Number)]
 	if !known {
-		call = w.now // a step that nobody had kept: the history will tell
+		call = w.stamp() // a step that nobody had kept: the history will tell
 	}
 	w.ops = append(w.ops, porcupine.Operation{ClientId: 200 + len(w.ops), Input: deed{epoch: d.Epoch, holder: d.Holder, step: name},
-		Call: int64(call*1e9) + 1, Return: w.stamp()})
+		Call: call, Return: w.stamp()})
 }
 
-// stamp orders what happens in one instant.
+// stamp is a time for the history: all that happens is in one order.
 func (w *theatre) stamp() int64 {
 	w.order++
-	return int64(w.now*1e9) + int64(w.order%1000)
+	return int64(w.order)
 }
 
 // start has an operator's tool start: it begins a rollout, or goes on with the one there is.
@@ -364,7 +363,7 @@
 		task.Verb = []roll.Verb{roll.Resume, roll.Resume, roll.Rollback, roll.Abandon}[w.rng.IntN(4)]
 	}
 	t.driver = roll.New(w.fleet, w.names, len(w.agents), "", t.holder, roll.Times{Period: 0.3, Giving: 4}, task, w.rng.Float64)
-	t.bidding = w.now
+	t.bidding, t.found = w.stamp(), w.kept
 	t.turn()
 	if w.rng.IntN(2) == 0 {
 		life := t.life
@@ -388,16 +387,20 @@
 	w := t.w
 	sends, wake := t.driver.Tick(w.now)
 	for _, e := range t.driver.Events() {
+		if e.Claimed == 0 && w.kept.Before(e.Stamp) {
+			w.kept = e.Stamp
+		}
 		if e.Claimed != 0 {
+			if e.Stamp.Before(t.found) {
+				w.report.Break("round %d, seed %d: %s found record %v, but %v had been kept before it bid", w.n, w.Seed,
+					t.holder, e.Stamp, t.found)
+			}
 			w.report.Claims++
 			w.ops = append(w.ops, porcupine.Operation{ClientId: t.i, Input: deed{claim: true, epoch: e.Claimed, holder: t.holder},
-				Call: int64(t.bidding * 1e9), Return: w.stamp()})
+				Call: t.bidding, Return: w.stamp()})
 		}
 	}
 	for _, s := range sends {
-		if s.Call.Verb == form.Bid {
-			t.bidding = min(t.bidding, w.now)
-		}
 		if s.Call.Verb == form.Keep {
 			t.noted(s.Call)
 		}
@@ -430,7 +433,7 @@
 	if form.Decode("record", c.Record.Body, &r) == nil && r.Step.Number != 0 {
 		key := fmt.Sprint(c.Epoch, r.ID, r.Step.Number)
 		if _, had := t.w.acts[key]; !had {
-			t.w.acts[key] = t.w.now
+			t.w.acts[key] = t.w.stamp()
 		}
 	}
 }
@@ -494,6 +497,9 @@
 		c.Epoch, c.Holder = a.desk.Claims.Epoch, a.desk.Claims.Holder
 		a.desk.Claims.Bid(a.now(), claim.Bid{Epoch: c.Epoch, Holder: c.Holder})
 	}
+	if a.w.Break == "unkept" && c.Verb == form.Keep {
+		return form.Reply{Standing: a.desk.Claims.Standing(a.now())}, true
+	}
 	r, s := a.desk.Handle(a.now(), c)
 	if c.Verb == form.Act && (r.Refusal == claim.LowerEpoch || r.Refusal == claim.RanOut) {
 		a.w.report.Late++
--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,521 @@
+// Package agent runs a machine's routers for the fleet tool: it starts and watches their processes, carries
+// out what package tend decides, and keeps its state in a store that it writes before it acknowledges.
+// Routers outlive their agent; one that starts again finds them.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"stoatdale.example/stoatdale/internal/fleet/claim"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/fleet/layout"
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+	"stoatdale.example/stoatdale/internal/fleet/revision"
+	"stoatdale.example/stoatdale/internal/fleet/store"
+	"stoatdale.example/stoatdale/internal/fleet/tend"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+const (
+	configName = "config.json"
+	nextName   = "next.json"
+	logName    = "router.log"
+	storeName  = "agent.db"
+	again      = time.Second // before what could not be stored is tried anew
+	queued     = 256
+)
+
+// Keeper is the store, as the agent needs it.
+type Keeper interface {
+	Load() (store.State, error)
+	Save(store.Change) error
+	Revision(digest string) (form.Revision, bool, error)
+	Revisions() ([]form.Revision, error)
+	Rollouts() ([]form.Rollout, error)
+}
+
+// Agent is one machine's.
+type Agent struct {
+	fleet   *layout.Fleet
+	me      *layout.Agent
+	own     []layout.Instance
+	store   Keeper
+	log     zerolog.Logger
+	desk    tend.Desk
+	limits  tend.Limits
+	routers []router
+	events  chan func()
+	began   time.Time // its monotonic reading is the agent's clock
+	ctx     context.Context
+}
+
+// router is what is open of one.
+type router struct {
+	folder  string
+	process *process
+	probing bool
+	hold    float64 // until then nothing is tried that was not stored
+}
+
+// OpenStore opens the store in an agent's folder.
+func OpenStore(me *layout.Agent) (*store.Store, error) {
+	return store.Open(filepath.Join(me.Folder, storeName))
+}
+
+// New is an agent that has read its store. program names this program and its version.
+func New(f *layout.Fleet, name, program string, keeper Keeper, log zerolog.Logger) (*Agent, error) {
+	me := f.Agent(name)
+	if me == nil {
+		return nil, fmt.Errorf("the fleet file has no agent %s", name)
+	}
+	st, err := keeper.Load()
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{fleet: f, me: me, own: f.Of(name), store: keeper, log: log, limits: tend.DefaultLimits(),
+		events: make(chan func(), queued), began: time.Now()}
+	a.limits.Ready, a.limits.Window = float64(f.Times.Ready), max(float64(f.Times.Soak), 5)
+	a.desk = tend.Desk{Agent: name, Program: program, Agents: f.AgentsDigest(), Wish: st.Wish,
+		Claims: claim.Restore(st.Claims, float64(f.Times.Claim), 0)}
+	for _, x := range a.own {
+		folder, err := filepath.Abs(filepath.Join(me.Folder, x.Name))
+		if err != nil {
+			return nil, fmt.Errorf("instance %s: %w", x.Name, err)
+		}
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return nil, fmt.Errorf("instance %s: %w", x.Name, err)
+		}
+		a.routers = append(a.routers, router{folder: folder})
+		a.desk.Names = append(a.desk.Names, x.Name)
+		a.desk.Listens = append(a.desk.Listens, x.Listen.String())
+		inst, _ := tend.NewInstance(st.Instances[x.Name], &a.limits) // its first effects come with Run
+		a.desk.Instances = append(a.desk.Instances, inst)
+	}
+	return a, nil
+}
+
+func (a *Agent) now() float64 { return time.Since(a.began).Seconds() }
+
+// Run serves until ctx ends. The routers stay as they are.
+func (a *Agent) Run(ctx context.Context) {
+	a.ctx = ctx
+	for i := range a.own {
+		x := &a.desk.Instances[i]
+		inst, out := tend.NewInstance(x.Record, &a.limits)
+		*x = inst
+		a.carry(i, out)
+	}
+	for ctx.Err() == nil {
+		timer := time.NewTimer(time.Duration(min(a.wake()-a.now(), 60) * float64(time.Second)))
+		select {
+		case f := <-a.events:
+			f()
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		for i := range a.own {
+			now := a.now()
+			if x := &a.desk.Instances[i]; now >= x.Wake() && now >= a.routers[i].hold {
+				a.event(i, func(x *tend.Instance) tend.Out { return x.Tick(a.now()) }, false)
+			}
+		}
+	}
+}
+
+func (a *Agent) wake() float64 {
+	wake := math.Inf(1)
+	for i := range a.own {
+		wake = min(wake, max(a.desk.Instances[i].Wake(), a.routers[i].hold))
+	}
+	return wake
+}
+
+// post has something done in turn.
+func (a *Agent) post(f func()) {
+	select {
+	case a.events <- f:
+	case <-a.ctx.Done():
+	}
+}
+
+// event hands an event to an instance. If what follows cannot be stored it has not happened; it comes again
+// unless a tick brought it, which comes by itself.
+func (a *Agent) event(i int, do func(x *tend.Instance) tend.Out, repeat bool) {
+	before := a.desk.Instances[i]
+	x := &a.desk.Instances[i]
+	out := do(x)
+	if out.Store {
+		if err := a.store.Save(store.Change{Instances: map[string]tend.Record{a.own[i].Name: x.Record}}); err != nil {
+			*x = before
+			a.routers[i].hold = a.now() + again.Seconds()
+			a.log.Error().Err(err).Str("instance", a.own[i].Name).Msg("not stored, and so not done")
+			if repeat {
+				time.AfterFunc(again, func() { a.post(func() { a.event(i, do, true) }) })
+			}
+			return
+		}
+	}
+	if x.End != before.End || x.Step.Number != before.Step.Number {
+		a.tell(i, x)
+	}
+	if was, is := before.Sight(0).Life, x.Sight(0).Life; was != is {
+		a.log.Info().Str("instance", a.own[i].Name).Stringer("from", was).Stringer("life", is).Int("crashes", x.Crashes()).Msg("router")
+	}
+	a.carry(i, out)
+}
+
+func (a *Agent) tell(i int, x *tend.Instance) {
+	e := a.log.Info()
+	if x.End == plan.Failed {
+		e = a.log.Error()
+	}
+	e.Str("instance", a.own[i].Name).Str("rollout", x.Step.Rollout).Uint64("step", x.Step.Number).
+		Str("revision", revision.Short(x.Step.Revision)).Int("end", int(x.End)).Str("why", x.Why).Msg("step")
+}
+
+func (a *Agent) carry(i int, out tend.Out) {
+	for _, e := range out.Do {
+		a.do(i, e)
+	}
+}
+
+// later runs something that may take its time, and hands in what comes of it.
+func (a *Agent) later(i int, work func() func(x *tend.Instance) tend.Out) {
+	go func() {
+		event := work()
+		a.post(func() { a.event(i, event, true) })
+	}()
+}
+
+func (a *Agent) mark(i int, n uint64) string {
+	return fmt.Sprintf("%s/%d", a.routers[i].folder, n)
+}
+
+func (a *Agent) do(i int, e tend.Effect) {
+	r, name := &a.routers[i], a.own[i].Name
+	switch e.Act {
+	case tend.Find:
+		go func() {
+			var p *process
+			var err error
+			if e.Mark != 0 { // else none was ever started
+				p, err = a.find(a.mark(i, e.Mark))
+			}
+			if err != nil {
+				a.log.Error().Err(err).Str("instance", name).Msg("looking for its process")
+			}
+			a.post(func() {
+				a.hold(i, p)
+				a.event(i, func(x *tend.Instance) tend.Out { return x.Found(a.now(), p != nil) }, true)
+			})
+		}()
+	case tend.Prepare:
+		from, to := a.desk.Instances[i].Revision, e.Revision
+		a.later(i, func() func(x *tend.Instance) tend.Out {
+			reload, drain, err := a.prepare(i, from, to)
+			return func(x *tend.Instance) tend.Out { return x.Prepared(a.now(), reload, drain, text(err)) }
+		})
+	case tend.Place:
+		a.later(i, func() func(x *tend.Instance) tend.Out {
+			err := a.place(i, e.Revision, configName)
+			return func(x *tend.Instance) tend.Out { return x.Placed(a.now(), text(err)) }
+		})
+	case tend.Start:
+		go func() {
+			p, err := launch(a.me.Program, r.folder, a.mark(i, e.Mark))
+			a.post(func() {
+				a.hold(i, p)
+				a.event(i, func(x *tend.Instance) tend.Out { return x.Started(a.now(), e.Mark, text(err)) }, true)
+			})
+		}()
+	case tend.Probe:
+		if r.probing {
+			return // its answer is on the way
+		}
+		r.probing = true
+		at := a.own[i].Listen.String()
+		go func() {
+			err := probe(a.ctx, at)
+			a.post(func() {
+				a.routers[i].probing = false
+				a.event(i, func(x *tend.Instance) tend.Out { return x.Probed(a.now(), err == nil) }, true)
+			})
+		}()
+	case tend.Count:
+		a.signal(i, unix.SIGUSR1)
+	case tend.Term:
+		a.signal(i, unix.SIGTERM)
+	case tend.Kill:
+		a.log.Warn().Str("instance", name).Msg("killed: it did not end within its time")
+		a.signal(i, unix.SIGKILL)
+	case tend.Hup:
+		a.signal(i, unix.SIGHUP)
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// find looks twice: a process whose agent died as it started it may just be coming up.
+func (a *Agent) find(mark string) (*process, error) {
+	p, err := adopt(mark)
+	if p != nil || err != nil {
+		return p, err
+	}
+	select {
+	case <-time.After(2 * watchEvery):
+	case <-a.ctx.Done():
+	}
+	return adopt(mark)
+}
+
+func (a *Agent) signal(i int, s unix.Signal) {
+	p := a.routers[i].process
+	if p == nil {
+		a.event(i, func(x *tend.Instance) tend.Out { return x.Exited(a.now(), "there is no process") }, true)
+		return
+	}
+	if err := p.signal(s); err != nil && !errors.Is(err, unix.ESRCH) { // one that has gone is told of by watch
+		a.log.Error().Err(err).Str("instance", a.own[i].Name).Stringer("signal", s).Msg("signal")
+	}
+}
+
+// hold takes a process over and watches it.
+func (a *Agent) hold(i int, p *process) {
+	r := &a.routers[i]
+	if r.process = p; p == nil {
+		return
+	}
+	a.log.Info().Str("instance", a.own[i].Name).Int("process", p.pid).Msg("holding")
+	go a.watch(i, p, newTail(filepath.Join(r.folder, logName)))
+}
+
+// watch hands in what a router logs, and its end.
+func (a *Agent) watch(i int, p *process, t *tail) {
+	defer p.close()
+	for a.ctx.Err() == nil {
+		gone, how := p.gone()
+		err := t.read(func(s spoken) {
+			a.post(func() {
+				if a.routers[i].process != p {
+					return
+				}
+				a.event(i, func(x *tend.Instance) tend.Out {
+					if s.counted != nil {
+						x.Counted(a.now(), *s.counted)
+						return tend.Out{}
+					}
+					return x.Reloaded(a.now(), *s.reloaded)
+				}, true)
+			})
+		})
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			a.log.Error().Err(err).Str("instance", a.own[i].Name).Msg("reading its log")
+		}
+		if gone {
+			if t.last != "" {
+				how += ": " + t.last
+			}
+			a.post(func() {
+				if a.routers[i].process == p {
+					a.routers[i].process = nil
+					a.log.Warn().Str("instance", a.own[i].Name).Str("how", how).Msg("router ended")
+					a.event(i, func(x *tend.Instance) tend.Out { return x.Exited(a.now(), how) }, true)
+				}
+			})
+			return
+		}
+		select {
+		case <-time.After(watchEvery):
+		case <-a.ctx.Done():
+		}
+	}
+}
+
+// prepare sees that a revision can be put in place: it is here, right for this instance, and there is room
+// for its file. It tells whether a reload is enough for it, and how long the running router may take to end.
+func (a *Agent) prepare(i int, from, to string) (reload bool, drain float64, err error) {
+	next, err := a.check(i, to)
+	if err != nil {
+		return false, 0, err
+	}
+	if err := a.place(i, to, nextName); err != nil {
+		return false, 0, err
+	}
+	if from == "" {
+		return false, revision.Drain(&next, float64(a.fleet.Times.Grace)), nil
+	}
+	before, err := a.check(i, from)
+	if err != nil { // what runs is no longer known: take the new one's times, and restart
+		return false, revision.Drain(&next, float64(a.fleet.Times.Grace)), nil
+	}
+	return len(revision.Restarts(&before, &next)) == 0, revision.Drain(&before, float64(a.fleet.Times.Grace)), nil
+}
+
+func (a *Agent) content(digest string) ([]byte, error) {
+	rev, found, err := a.store.Revision(digest)
+	if err == nil && !found {
+		err = fmt.Errorf("revision %s is not at agent %s: push it", revision.Short(digest), a.me.Name)
+	}
+	return rev.Content, err
+}
+
+func (a *Agent) check(i int, digest string) (site.Start, error) {
+	content, err := a.content(digest)
+	if err != nil {
+		return site.Start{}, err
+	}
+	return revision.Check(content, a.own[i].Revised())
+}
+
+// place writes an instance's file whole.
+func (a *Agent) place(i int, digest, name string) error {
+	content, err := a.content(digest)
+	if err != nil {
+		return err
+	}
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	raw, err := revision.Render(content, a.own[i].Revised(), binary.LittleEndian.Uint64(seed[:]))
+	if err != nil {
+		return err
+	}
+	if err := renameio.WriteFile(filepath.Join(a.routers[i].folder, name), raw, 0o600); err != nil {
+		return fmt.Errorf("instance %s: %w", a.own[i].Name, err)
+	}
+	return nil
+}
+
+// Handle answers a call of an operator. It may be called from any goroutine while Run runs.
+func (a *Agent) Handle(ctx context.Context, operator string, c form.Call) (form.Reply, error) {
+	done := make(chan form.Reply, 1)
+	f := func() { done <- a.handle(operator, c) }
+	select {
+	case a.events <- f:
+	case <-ctx.Done():
+		return form.Reply{}, ctx.Err()
+	}
+	select {
+	case r := <-done:
+		return r, nil
+	case <-ctx.Done():
+		return form.Reply{}, ctx.Err()
+	}
+}
+
+func (a *Agent) handle(operator string, c form.Call) form.Reply {
+	r := form.Reply{Agent: a.desk.Agent, Program: a.desk.Program}
+	switch c.Verb {
+	case form.Put:
+		r.Fault = text(a.put(operator, c.Revision))
+		return r
+	case form.Get:
+		rev, found, err := a.store.Revision(c.Revision.Digest)
+		if err == nil && found {
+			r.Revisions = []form.Revision{rev}
+		}
+		r.Fault = text(err)
+		return r
+	case form.History:
+		var err, more error
+		r.Revisions, err = a.store.Revisions()
+		r.Rollouts, more = a.store.Rollouts()
+		r.Fault = text(errors.Join(err, more))
+		return r
+	}
+	c.Wish.By = operator
+	before := a.desk
+	before.Instances = append([]tend.Instance(nil), a.desk.Instances...)
+	r, s := a.desk.Handle(a.now(), c)
+	change, dirty := a.change(c, s)
+	if dirty {
+		if err := a.store.Save(change); err != nil {
+			a.desk = before
+			a.log.Error().Err(err).Str("verb", string(c.Verb)).Msg("not stored, and so refused")
+			return form.Reply{Agent: r.Agent, Program: r.Program, Refusal: claim.NotHolder, Fault: err.Error(),
+				Standing: a.desk.Claims.Standing(a.now())}
+		}
+	}
+	a.logged(operator, c, r)
+	for i := range r.Instances {
+		if p := a.routers[i].process; p != nil {
+			r.Instances[i].Process = p.pid
+		}
+	}
+	if s.Instance >= 0 {
+		a.tell(s.Instance, &a.desk.Instances[s.Instance])
+		a.carry(s.Instance, tend.Out{Do: s.Do})
+	}
+	return r
+}
+
+// change is what a call has changed that must be stored.
+func (a *Agent) change(c form.Call, s tend.Saves) (store.Change, bool) {
+	var ch store.Change
+	if s.Claims {
+		d := a.desk.Claims.Durable
+		ch.Claims = &d
+	}
+	if s.Claims && c.Verb == form.Keep {
+		var r form.Rollout
+		if err := form.Decode("record", c.Record.Body, &r); err == nil && r.ID != "" {
+			ch.Rollout = &r
+		}
+	}
+	if s.Wish {
+		ch.Wish = &a.desk.Wish
+	}
+	if s.Instance >= 0 {
+		ch.Instances = map[string]tend.Record{a.own[s.Instance].Name: a.desk.Instances[s.Instance].Record}
+	}
+	return ch, s.Claims || s.Wish || s.Instance >= 0
+}
+
+func (a *Agent) logged(operator string, c form.Call, r form.Reply) {
+	if c.Verb == form.Look || c.Verb == form.Keep && r.Refusal == claim.Granted {
+		return
+	}
+	a.log.Info().Str("operator", operator).Str("verb", string(c.Verb)).Uint64("epoch", max(c.Epoch, c.Bid.Epoch)).
+		Stringer("says", r.Refusal).Str("fault", r.Fault).Msg("call")
+}
+
+// put keeps a revision that is right for every instance here.
+func (a *Agent) put(operator string, rev form.Revision) error {
+	canonical, err := revision.Canonical("revision", rev.Content)
+	if err != nil {
+		return err
+	}
+	if is := revision.Digest(canonical); is != rev.Digest {
+		return fmt.Errorf("the revision's content is %s, and it is called %s", revision.Short(is), revision.Short(rev.Digest))
+	}
+	for i := range a.own {
+		if _, err := revision.Check(canonical, a.own[i].Revised()); err != nil {
+			return err
+		}
+	}
+	rev.Content, rev.By = canonical, operator
+	if err := a.store.Save(store.Change{Revision: &rev}); err != nil {
+		return err
+	}
+	a.log.Info().Str("operator", operator).Str("revision", revision.Short(rev.Digest)).Str("name", rev.Name).Msg("revision kept")
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/agent/agent_test.go
@@ -0,0 +1,354 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"stoatdale.example/stoatdale/internal/fleet/claim"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/fleet/layout"
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+	"stoatdale.example/stoatdale/internal/fleet/revision"
+	"stoatdale.example/stoatdale/internal/fleet/store"
+	"stoatdale.example/stoatdale/internal/lab/stand"
+)
+
+// patience ends a test that hangs; no test that passes waits for it.
+const patience = 20 * time.Second
+
+// TestMain is also the stand-in router that agents start.
+func TestMain(m *testing.M) {
+	if os.Getenv(markVariable) != "" {
+		stand.Router()
+	}
+	os.Exit(m.Run())
+}
+
+// faulty is a store that can be told to fail.
+type faulty struct {
+	*store.Store
+	full atomic.Bool
+}
+
+func (f *faulty) Save(c store.Change) error {
+	if f.full.Load() {
+		return errors.New("store: no space left on device")
+	}
+	return f.Store.Save(c)
+}
+
+// rig is one agent with one instance, in this process; it can be killed and started again.
+type rig struct {
+	t      *testing.T
+	fleet  *layout.Fleet
+	folder string
+	agent  *Agent
+	store  *faulty
+	stop   func()
+	number uint64
+}
+
+func port(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newRig(t *testing.T) *rig {
+	dir := t.TempDir()
+	text := fmt.Sprintf(`(name t) (floor 0) (times (ready 2s) (grace 200ms)) (hall h (floor 0))
+		(agent a (listen 127.0.0.1:1) (hall h) (folder %q) (program %q)) (instance n (agent a) (listen %s))`, dir, os.Args[0], port(t))
+	f, err := layout.Parse("f", []byte(text))
+	require.NoError(t, err)
+	r := &rig{t: t, fleet: f, folder: dir}
+	r.start()
+	t.Cleanup(func() {
+		p := r.process()
+		r.stop()
+		if p != nil {
+			_ = p.signal(unix.SIGKILL)
+			for gone := false; !gone; gone, _ = p.gone() {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	})
+	r.call(form.Call{Verb: form.Bid, Bid: claim.Bid{Epoch: 1, Holder: "h", Takeover: true}})
+	r.until("it knows its router", func(t form.Told) bool { return t.Life != plan.Unknown })
+	return r
+}
+
+func (r *rig) start() {
+	s, err := OpenStore(r.fleet.Agent("a"))
+	require.NoError(r.t, err)
+	r.store = &faulty{Store: s}
+	r.agent, err = New(r.fleet, "a", "test", r.store, zerolog.New(io.Discard))
+	require.NoError(r.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	agent := r.agent
+	go func() { agent.Run(ctx); close(done) }()
+	r.stop = func() { cancel(); <-done; _ = s.Close() }
+}
+
+// restart ends the agent as a kill would: nothing is saved, no router is touched.
+func (r *rig) restart() {
+	r.stop()
+	r.start()
+}
+
+func (r *rig) call(c form.Call) form.Reply {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reply, err := r.agent.Handle(ctx, "op", c)
+	require.NoError(r.t, err)
+	return reply
+}
+
+func (r *rig) sight() form.Told { return r.call(form.Call{Verb: form.Look}).Instances[0] }
+
+// inLoop runs something in the agent's turn.
+func (r *rig) inLoop(f func()) {
+	done := make(chan struct{})
+	r.agent.post(func() { f(); close(done) })
+	<-done
+}
+
+func (r *rig) process() *process {
+	var p *process
+	r.inLoop(func() { p = r.agent.routers[0].process })
+	return p
+}
+
+// until waits for something to be seen of the instance.
+func (r *rig) until(what string, is func(t form.Told) bool) form.Told {
+	r.t.Helper()
+	for late := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		told := r.sight()
+		if is(told) {
+			return told
+		}
+		if time.Now().After(late) {
+			require.Fail(r.t, "not seen: "+what, "%+v", told)
+		}
+	}
+}
+
+// push keeps a revision and returns its digest.
+func (r *rig) push(conduct stand.Conduct, more map[string]any) string {
+	r.t.Helper()
+	if more == nil {
+		more = map[string]any{}
+	}
+	more["stand"] = conduct
+	raw, err := revision.Canonical("f", stand.JSON(stand.Deployment("127.0.0.1:9", 0.1, more)))
+	require.NoError(r.t, err)
+	digest := revision.Digest(raw)
+	reply := r.call(form.Call{Verb: form.Put, Revision: form.Revision{Digest: digest, Content: raw}})
+	require.Empty(r.t, reply.Fault)
+	return digest
+}
+
+// step begins one and waits for its end.
+func (r *rig) step(digest string) form.Told {
+	r.t.Helper()
+	fault := r.begin(digest)
+	require.Empty(r.t, fault)
+	return r.until("its end", func(t form.Told) bool { return t.Last.Number == r.number && t.End != plan.Open })
+}
+
+func (r *rig) begin(digest string) string {
+	r.number++
+	reply := r.call(form.Call{Verb: form.Act, Epoch: 1, Holder: "h", Name: "n",
+		Step: plan.Step{Rollout: "r", Number: r.number, Revision: digest}})
+	if reply.Refusal != claim.Granted {
+		return reply.Refusal.String() + " " + reply.Fault
+	}
+	return reply.Fault
+}
+
+func ready(t form.Told) bool { return t.Life == plan.Ready }
+
+func TestStepsStartRestartAndReload(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	a := r.push(stand.Conduct{}, nil)
+	told := r.step(a)
+	assert.Equal(t, plan.Done, told.End, told.Why)
+	first := told.Process
+	assert.NotZero(t, first)
+	r.until("counters", func(t form.Told) bool { return t.Since.Ended >= 200 })
+	b := r.push(stand.Conduct{}, map[string]any{"discovery": "127.0.0.1:10"})
+	told = r.step(b)
+	assert.Equal(t, plan.Done, told.End, told.Why)
+	assert.Equal(t, first, told.Process, "another address of discovery moves by SIGHUP")
+	c := r.push(stand.Conduct{Ready: 0.3}, map[string]any{"limits": map[string]any{"sockets": 300}})
+	told = r.step(c)
+	assert.Equal(t, plan.Done, told.End, told.Why)
+	assert.NotEqual(t, first, told.Process)
+	raw, err := os.ReadFile(filepath.Join(r.folder, "n", configName))
+	require.NoError(t, err)
+	assert.Contains(t, string(raw), `"sockets":300`)
+}
+
+func TestBadRevisionsFailTheirStepAndTheOldOneComesBack(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	good := r.push(stand.Conduct{}, nil)
+	r.step(good)
+	for says, conduct := range map[string]stand.Conduct{"it ended with status 3: stand-in: told to end": {Exit: 3},
+		"it was not ready within 2 s": {Silent: true}} {
+		told := r.step(r.push(conduct, map[string]any{"limits": map[string]any{"sockets": 300}}))
+		assert.Equal(t, plan.Failed, told.End)
+		assert.Contains(t, told.Why, says)
+		told = r.step(good)
+		assert.Equal(t, plan.Done, told.End, told.Why)
+		assert.Equal(t, plan.Ready, told.Life)
+	}
+	assert.Contains(t, r.step(strings.Repeat("0", 32)).Why, "is not at agent a: push it")
+	reply := r.call(form.Call{Verb: form.Put, Revision: form.Revision{Digest: "x", Content: []byte(`{"discovery":"x"}`)}})
+	assert.Contains(t, reply.Fault, "and it is called x")
+	raw := []byte(`{"discovery":"x"}`)
+	reply = r.call(form.Call{Verb: form.Put, Revision: form.Revision{Digest: revision.Digest(raw), Content: raw}})
+	assert.Contains(t, reply.Fault, "instance n: discovery:", "the router's own reader refuses it")
+}
+
+func TestRouterThatDoesNotEndIsKilledAfterItsTime(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.step(r.push(stand.Conduct{Deaf: true}, nil))
+	began := time.Now()
+	told := r.step(r.push(stand.Conduct{}, map[string]any{"limits": map[string]any{"sockets": 300}}))
+	assert.Equal(t, plan.Done, told.End, told.Why)
+	assert.GreaterOrEqual(t, time.Since(began), 1500*time.Millisecond, "ten client timeouts, half a second, the grace")
+	r.step(r.push(stand.Conduct{Drain: 0.7}, map[string]any{"limits": map[string]any{"sockets": 301}}))
+	p := r.process()
+	told = r.step(r.push(stand.Conduct{}, nil))
+	assert.Equal(t, plan.Done, told.End)
+	assert.NotEqual(t, p.pid, told.Process)
+}
+
+func TestNewAgentAdoptsTheRouterThatRuns(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	told := r.step(r.push(stand.Conduct{}, nil))
+	r.restart()
+	again := r.until("ready", ready)
+	assert.Equal(t, told.Process, again.Process)
+	p := r.process()
+	require.NoError(t, p.signal(unix.SIGKILL))
+	after := r.until("a new one", func(t form.Told) bool { return ready(t) && t.Process != told.Process })
+	assert.Equal(t, 1, after.Crashes)
+	assert.NotEqual(t, claim.Granted, r.call(form.Call{Verb: form.Bid, Bid: claim.Bid{Epoch: 1, Holder: "other"}}).Refusal,
+		"promises outlive the agent")
+}
+
+func TestAnotherProcessWithTheNumberIsNotTaken(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	told := r.step(r.push(stand.Conduct{}, nil))
+	r.stop()
+	p, err := adopt(r.agent.mark(0, 1))
+	require.NoError(t, err)
+	require.Equal(t, told.Process, p.pid)
+	require.NoError(t, p.signal(unix.SIGKILL))
+	for gone := false; !gone; gone, _ = p.gone() {
+		time.Sleep(time.Millisecond)
+	}
+	p, err = adopt(r.agent.mark(0, 1))
+	require.NoError(t, err)
+	assert.Nil(t, p, "only the mark tells a router, and this test's own process bears none")
+	r.start()
+	assert.NotEqual(t, told.Process, r.until("ready", ready).Process)
+}
+
+func TestAgentThatEndsInAStepResolvesIt(t *testing.T) {
+	t.Parallel()
+	for name, after := range map[string]time.Duration{"at once": 0, "in the drain": 200 * time.Millisecond,
+		"before it is ready": 700 * time.Millisecond} {
+		r := newRig(t)
+		r.step(r.push(stand.Conduct{Drain: 0.5}, nil))
+		b := r.push(stand.Conduct{Ready: 0.5}, map[string]any{"limits": map[string]any{"sockets": 300}})
+		require.Empty(t, r.begin(b), name)
+		time.Sleep(after)
+		r.restart()
+		told := r.until("an end", func(t form.Told) bool { return t.End != plan.Open && ready(t) })
+		assert.NotEqual(t, plan.Failed, told.End, "%s: %s", name, told.Why)
+		if told.End == plan.Done {
+			assert.Equal(t, b, told.Revision, name)
+		}
+	}
+}
+
+func TestFullDiskRefusesTheStepAndTouchesNothing(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	told := r.step(r.push(stand.Conduct{}, nil))
+	b := r.push(stand.Conduct{}, map[string]any{"limits": map[string]any{"sockets": 300}})
+	r.store.full.Store(true)
+	assert.Contains(t, r.begin(b), "no space left")
+	assert.Contains(t, r.call(form.Call{Verb: form.Bid, Bid: claim.Bid{Epoch: 9, Holder: "h"}}).Fault, "no space left")
+	assert.Equal(t, told.Process, r.sight().Process)
+	assert.EqualValues(t, 1, r.call(form.Call{Verb: form.Look}).Standing.Epoch, "nothing is promised that is not kept")
+	r.store.full.Store(false)
+	assert.Equal(t, plan.Done, r.step(b).End)
+}
+
+func TestCrashLoopIsTold(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.inLoop(func() { r.agent.limits.Restart, r.agent.limits.Crashes = 0.01, 3 })
+	told := r.step(r.push(stand.Conduct{LiveFor: 0.3}, nil))
+	assert.Equal(t, plan.Done, told.End)
+	told = r.until("broken", func(t form.Told) bool { return t.Life == plan.Broken })
+	assert.Equal(t, 4, told.Crashes)
+}
+
+func TestLogIsReadByLinesAndBegunAnew(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	require.NoError(t, os.WriteFile(path, []byte("old\n"), 0o600))
+	tl := newTail(path)
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(t, err)
+	defer func() { _ = f.Close() }()
+	var got []spoken
+	read := func(text string) {
+		_, err := f.WriteString(text)
+		require.NoError(t, err)
+		require.NoError(t, tl.read(func(s spoken) { got = append(got, s) }))
+	}
+	read(`{"message":"counters","counters":{"answered":5,"failed":1,"thr`)
+	assert.Empty(t, got)
+	read(`ottled":2,"bad_input":1}}` + "\n" + `{"message":"reloaded"}` + "\n" + `{"message":"reload refused","error":"no"}` + "\n")
+	require.Len(t, got, 3)
+	assert.Equal(t, plan.Tally{Ended: 9, Unanswered: 4}, *got[0].counted)
+	assert.Equal(t, "", *got[1].reloaded)
+	assert.Equal(t, "no", *got[2].reloaded)
+	read("panic: something\n")
+	assert.Equal(t, "panic: something", tl.last)
+	for range 9 {
+		read(strings.Repeat(strings.Repeat("x", 1023)+"\n", 1<<10))
+	}
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	assert.Less(t, info.Size(), int64(logLongest))
+	read(`{"message":"reloaded"}` + "\n")
+	assert.Len(t, got, 4, "it goes on from the new beginning")
+}
--- /dev/null
+++ b/internal/fleet/layout/layout.go
@@ -0,0 +1,267 @@
+// Package layout reads the fleet file: agents, halls and instances, floors and times, as S-expressions.
+package layout
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+	"stoatdale.example/stoatdale/internal/fleet/revision"
+	"stoatdale.example/stoatdale/internal/sexp"
+)
+
+// Fleet is the file.
+type Fleet struct {
+	Name      string     `sexp:"name,must"`
+	Floor     int        `sexp:"floor,must"` // instances of the whole that must serve
+	Times     Times      `sexp:"times"`
+	Halls     []Hall     `sexp:"hall"`
+	Agents    []Agent    `sexp:"agent"`
+	Instances []Instance `sexp:"instance"`
+	hall      map[string]int
+	agent     map[string]int
+}
+
+// Times of a rollout, an agent and a claim.
+type Times struct {
+	Soak    sexp.Seconds `sexp:"soak"`
+	Fresh   sexp.Seconds `sexp:"fresh"`
+	Contact sexp.Seconds `sexp:"contact"`
+	Step    sexp.Seconds `sexp:"step"`
+	Claim   sexp.Seconds `sexp:"claim"`
+	Look    sexp.Seconds `sexp:"look"`
+	Ready   sexp.Seconds `sexp:"ready"`
+	Grace   sexp.Seconds `sexp:"grace"`
+}
+
+// Hall is where instances serve.
+type Hall struct {
+	Name  string     `sexp:",name"`
+	Floor int        `sexp:"floor,must"`
+	At    sexp.Place `sexp:",place"`
+}
+
+// Agent is one machine's.
+type Agent struct {
+	Name    string         `sexp:",name"`
+	Listen  netip.AddrPort `sexp:"listen,must"`
+	Hall    string         `sexp:"hall,must"`
+	Folder  string         `sexp:"folder,must"`  // for its store and its routers' files
+	Program string         `sexp:"program,must"` // the router
+	Place   sexp.Place     `sexp:",place"`
+}
+
+// Instance is one router.
+type Instance struct {
+	Name      string         `sexp:",name"`
+	Agent     string         `sexp:"agent,must"`
+	Listen    netip.AddrPort `sexp:"listen,must"`
+	Discovery string         `sexp:"discovery"` // in place of the revision's
+	Me        *int           `sexp:"me"`        // in place of the revision's settings.me
+	Place     sexp.Place     `sexp:",place"`
+}
+
+func defaults() Fleet {
+	return Fleet{Times: Times{Soak: 5, Fresh: 3, Contact: 30, Step: 120, Claim: 15, Look: 0.5, Ready: 10, Grace: 2}}
+}
+
+// Load reads and checks a fleet file.
+func Load(path string) (*Fleet, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet file: %w", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse reads and checks a fleet file's text. Errors name the file, line and column, and the key.
+func Parse(file string, raw []byte) (*Fleet, error) {
+	nodes, err := sexp.Read(file, raw)
+	if err != nil {
+		return nil, err
+	}
+	f := defaults()
+	if err := sexp.Decode(file, nodes, &f); err != nil {
+		return nil, err
+	}
+	if err := f.check(file); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// Text is the file that reads back as f.
+func (f *Fleet) Text() []byte { return sexp.Print(sexp.Encode(f)) }
+
+func (f *Fleet) check(file string) error {
+	whole := sexp.Place{File: file, Line: 1, Column: 1}
+	fault := func(at sexp.Place, format string, args ...any) error {
+		return &sexp.Fault{Place: at, Says: fmt.Sprintf(format, args...)}
+	}
+	for _, t := range []struct {
+		key   string
+		value sexp.Seconds
+	}{{"fresh", f.Times.Fresh}, {"contact", f.Times.Contact}, {"step", f.Times.Step}, {"claim", f.Times.Claim},
+		{"look", f.Times.Look}, {"ready", f.Times.Ready}} {
+		if t.value <= 0 {
+			return fault(whole, "times: %s must be above 0", t.key)
+		}
+	}
+	switch {
+	case f.Times.Fresh < 2*f.Times.Look:
+		return fault(whole, "times: fresh must be twice look at least, or nothing is ever known")
+	case f.Times.Claim < 4*f.Times.Look:
+		return fault(whole, "times: claim must be four times look at least, or claims run out in use")
+	case len(f.Agents) == 0:
+		return fault(whole, "the file has no agent")
+	case len(f.Instances) == 0:
+		return fault(whole, "the file has no instance")
+	}
+	f.hall, f.agent = map[string]int{}, map[string]int{}
+	for i, h := range f.Halls {
+		if _, twice := f.hall[h.Name]; twice {
+			return fault(h.At, "hall %s is given twice", h.Name)
+		}
+		f.hall[h.Name] = i
+	}
+	taken := map[netip.AddrPort]string{}
+	listen := func(at sexp.Place, a netip.AddrPort, who string) error {
+		if a.Port() == 0 {
+			return fault(at, "%s: listen wants a port", who)
+		}
+		if other, twice := taken[a]; twice {
+			return fault(at, "%s listens on %s, as %s does", who, a, other)
+		}
+		taken[a] = who
+		return nil
+	}
+	for i, a := range f.Agents {
+		if _, twice := f.agent[a.Name]; twice {
+			return fault(a.Place, "agent %s is given twice", a.Name)
+		}
+		if _, known := f.hall[a.Hall]; !known {
+			return fault(a.Place, "agent %s: there is no hall %s", a.Name, a.Hall)
+		}
+		if err := listen(a.Place, a.Listen, "agent "+a.Name); err != nil {
+			return err
+		}
+		f.agent[a.Name] = i
+	}
+	return f.checkInstances(fault, listen, whole)
+}
+
+func (f *Fleet) checkInstances(fault func(sexp.Place, string, ...any) error,
+	listen func(sexp.Place, netip.AddrPort, string) error, whole sexp.Place) error {
+	names := map[string]bool{}
+	perHall := make([]int, len(f.Halls))
+	for _, x := range f.Instances {
+		a, known := f.agent[x.Agent]
+		switch {
+		case names[x.Name]:
+			return fault(x.Place, "instance %s is given twice", x.Name)
+		case !known:
+			return fault(x.Place, "instance %s: there is no agent %s", x.Name, x.Agent)
+		case strings.ContainsAny(x.Name, "/\x00") || x.Name == "" || x.Name[0] == '.':
+			return fault(x.Place, "instance %q: the name must do as a folder's", x.Name)
+		case x.Me != nil && *x.Me < 0:
+			return fault(x.Place, "instance %s: me must not be below 0", x.Name)
+		}
+		if x.Discovery != "" {
+			if _, err := netip.ParseAddrPort(x.Discovery); err != nil {
+				return fault(x.Place, "instance %s: discovery: %v", x.Name, err)
+			}
+		}
+		if err := listen(x.Place, x.Listen, "instance "+x.Name); err != nil {
+			return err
+		}
+		names[x.Name] = true
+		perHall[f.hall[f.Agents[a].Hall]]++
+	}
+	for i, h := range f.Halls {
+		if h.Floor < 0 || h.Floor > perHall[i] {
+			return fault(h.At, "hall %s: its floor is %d, and it has %d instances", h.Name, h.Floor, perHall[i])
+		}
+	}
+	if f.Floor < 0 || f.Floor > len(f.Instances) {
+		return fault(whole, "the floor is %d, and there are %d instances", f.Floor, len(f.Instances))
+	}
+	return nil
+}
+
+// Plan is the fleet as the decisions see it; instances, halls and agents keep the file's order.
+func (f *Fleet) Plan() *plan.Fleet {
+	p := &plan.Fleet{Floor: f.Floor, Times: plan.Times{Soak: float64(f.Times.Soak), Fresh: float64(f.Times.Fresh),
+		Contact: float64(f.Times.Contact), Step: float64(f.Times.Step)}}
+	for _, h := range f.Halls {
+		p.Halls = append(p.Halls, h.Floor)
+	}
+	for _, x := range f.Instances {
+		a := f.agent[x.Agent]
+		p.Instances = append(p.Instances, plan.Instance{Hall: f.hall[f.Agents[a].Hall], Agent: a})
+	}
+	return p
+}
+
+// Names are the instances'.
+func (f *Fleet) Names() []string {
+	var out []string
+	for _, x := range f.Instances {
+		out = append(out, x.Name)
+	}
+	return out
+}
+
+// Agent finds one by its name, or returns nil.
+func (f *Fleet) Agent(name string) *Agent {
+	if i, ok := f.agent[name]; ok {
+		return &f.Agents[i]
+	}
+	return nil
+}
+
+// Of are an agent's instances.
+func (f *Fleet) Of(agent string) []Instance {
+	var out []Instance
+	for _, x := range f.Instances {
+		if x.Agent == agent {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Revised is what belongs to an instance and not to a revision.
+func (x *Instance) Revised() revision.At {
+	at := revision.At{Name: x.Name, Listen: x.Listen.String(), Discovery: x.Discovery, Me: -1}
+	if x.Me != nil {
+		at.Me = *x.Me
+	}
+	return at
+}
+
+// AgentsDigest stands for the list of agents, a majority of whom grants claims.
+func (f *Fleet) AgentsDigest() string {
+	var b strings.Builder
+	for _, a := range f.Agents {
+		fmt.Fprintf(&b, "%q ", a.Name)
+	}
+	return digest(b.String())
+}
+
+// InstancesDigest stands for the list of instances, whose places a rollout's record speaks of.
+func (f *Fleet) InstancesDigest() string {
+	var b strings.Builder
+	for _, x := range f.Instances {
+		fmt.Fprintf(&b, "%q %q ", x.Name, x.Agent)
+	}
+	return digest(b.String())
+}
+
+func digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:8])
+}
--- /dev/null
+++ b/internal/fleet/revision/revision_test.go
@@ -0,0 +1,94 @@
+package revision
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const sample = `{
+ "limits": {"sockets": 600, "memory_mb": 100},
+ "discovery": "127.2.0.1:8500",
+ "known": {"generation":41,"reset":true,"instances":[]},
+ "settings":{"balancers":3,"me":2,"zones":["h1","h2"],"tickNs":5000000,"discovery":"push",
+  "classes":[{"name":"basket","effect":"pure","targetNs":500000000,"deadlineNs":2000000000,"worth":1}],
+  "familyInfo":{"tokens":"kept","guards":"none","needsByClass":["causal"],"classBoundNs":[0],"zeroNs":5},
+  "loadInfo":{"source":"probe","fields":["x0","x1"]},
+  "limits":{"mostTries":4,"dialTimeoutNs":250000000,"connIdleNs":15000000000,"probes":true},
+  "invariants":{"startCapacity":0.2,"rampTimeNs":9000000000,"overloadFactor":2,"fallNs":2000000000}}}`
+
+var here = At{Name: "n1", Listen: "127.0.0.1:5432", Me: 1}
+
+func canonical(t *testing.T, text string) []byte {
+	t.Helper()
+	c, err := Canonical("f", []byte(text))
+	require.NoError(t, err)
+	return c
+}
+
+func TestContentNamesItself(t *testing.T) {
+	c := canonical(t, sample)
+	again := canonical(t, string(c))
+	assert.Equal(t, c, again)
+	other := strings.Replace(sample, `"sockets": 600, "memory_mb": 100`, `"memory_mb":100,"sockets":600`, 1)
+	assert.Equal(t, Digest(c), Digest(canonical(t, other)), "however it is written")
+	assert.NotEqual(t, Digest(c), Digest(canonical(t, strings.Replace(sample, "600", "601", 1))))
+	assert.Contains(t, string(canonical(t, strings.Replace(sample, "500000000", "500000000.0000001", 1))), "500000000.0000001", "numbers stay as written")
+}
+
+func TestInstanceGetsItsOwn(t *testing.T) {
+	s, err := Check(canonical(t, sample), here)
+	require.NoError(t, err)
+	assert.Equal(t, "n1", s.Name)
+	assert.Equal(t, "127.0.0.1:5432", s.Listen.String())
+	assert.Equal(t, 1, s.Told.Me)
+	assert.Equal(t, "127.2.0.1:8500", s.Discovery.String())
+	s, err = Check(canonical(t, sample), At{Name: "n1", Listen: "127.0.0.1:1", Discovery: "127.0.0.9:1", Me: -1})
+	require.NoError(t, err)
+	assert.Equal(t, 2, s.Told.Me)
+	assert.Equal(t, "127.0.0.9:1", s.Discovery.String())
+	assert.InDelta(t, 20+0.5+1, Drain(&s, 1), 1e-9)
+}
+
+func TestBadRevisionsAreToldByPlaceAndKey(t *testing.T) {
+	for text, says := range map[string]string{
+		`{"name":"x"}`:                "f: the key name belongs to an instance",
+		`{"Seed":"1"}`:                "the key Seed belongs to an instance",
+		"{\n \"a\":1,\n \"a\":2}":     "f:3:5: a is given twice",
+		`{"a":{"b":[{"c":1,"c":2}]}}`: "a.b[0].c is given twice",
+		`[1]`:                         "f:1:1: a revision is a JSON object",
+		`{"a":1} x`:                   "something follows",
+		`{"a":`:                       "unexpected EOF",
+		`{"a" 1}`:                     "f:1:",
+		strings.Repeat(`{"a":`, 70) + "1" + strings.Repeat("}", 70): "nests more than",
+	} {
+		_, err := Canonical("f", []byte(text))
+		assert.ErrorContains(t, err, says, text)
+	}
+	_, err := Canonical("f", make([]byte, Longest+1))
+	assert.ErrorContains(t, err, "at most")
+	for change, says := range map[string]string{`"targetNs"`: "instance n1: settings: classes[0]", `"known"`: "instance n1: known is missing",
+		`"settings":`: "settings is missing"} {
+		_, err := Check(canonical(t, strings.Replace(sample, change, strings.Replace(change, `"`, `"x`, 1), 1)), here)
+		assert.ErrorContains(t, err, says)
+	}
+}
+
+func TestWhatNeedsARestartIsTold(t *testing.T) {
+	a, err := Check(canonical(t, sample), here)
+	require.NoError(t, err)
+	b, err := Check(canonical(t, strings.Replace(sample, "127.2.0.1:8500", "127.2.0.2:8500", 1)), here)
+	require.NoError(t, err)
+	assert.Empty(t, Restarts(&a, &b))
+	b, err = Check(canonical(t, strings.Replace(strings.Replace(sample, "600", "601", 1), `"mostTries":4`, `"mostTries":5`, 1)), here)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"limits", "settings"}, Restarts(&a, &b))
+}
+
+func TestDiff(t *testing.T) {
+	d, err := Diff([]byte(`{"a":{"b":[1,2],"c":1},"d":"x"}`), []byte(`{"a":{"b":[1,3],"e":[]},"d":"x"}`))
+	require.NoError(t, err)
+	assert.Equal(t, []Change{{"a.b[1]", "2", "3"}, {"a.c", "1", ""}, {"a.e", "", "[]"}}, d)
+}
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -81,9 +81,10 @@
 	What     plan.What
 	Rollout  form.Rollout
 	Why      plan.Reason
-	Step     plan.Step // begun or settled
-	Claimed  uint64    // the epoch, when one was won
-	Refusals string    // an agent's words
+	Step     plan.Step   // begun or settled
+	Claimed  uint64      // the epoch, when one was won
+	Stamp    claim.Stamp // of the record that was found then, or that a majority keeps now
+	Refusals string      // an agent's words
 }
 
 type phase int
@@ -579,7 +580,7 @@
 // won starts a run under an epoch: with what the newest record says, changed as the task wants it.
 func (d *Driver) won(now float64) {
 	d.tries, d.majorAt = 0, now
-	d.events = append(d.events, Event{At: now, Claimed: d.campaign.Bid.Epoch})
+	d.events = append(d.events, Event{At: now, Claimed: d.campaign.Bid.Epoch, Stamp: d.campaign.Record().Stamp})
 	var r form.Rollout
 	if rec := d.campaign.Record(); rec.Body != nil {
 		if err := form.Decode("record", rec.Body, &r); err != nil {
@@ -686,7 +687,8 @@
 		step = k.rollout.Step
 		d.actAt, d.refused = now, 0 // the planner has it sent, if it may still be
 	}
-	d.events = append(d.events, Event{At: now, What: k.what, Rollout: d.rollout, Why: k.why, Step: step})
+	d.events = append(d.events, Event{At: now, What: k.what, Rollout: d.rollout, Why: k.why, Step: step,
+		Stamp: k.record.Stamp})
 	if d.rollout.State != plan.Running {
 		d.release(now, Outcome{Kind: Ended, Rollout: d.rollout, Reason: d.rollout.Why})
 	}
--- /dev/null
+++ b/internal/fleet/store/store_test.go
@@ -0,0 +1,147 @@
+package store
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/bbolt"
+
+	"stoatdale.example/stoatdale/internal/fleet/claim"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+	"stoatdale.example/stoatdale/internal/fleet/tend"
+)
+
+// TestMain is also the program that is killed while it writes.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("STORE_WRITER"); path != "" {
+		writer(path)
+	}
+	os.Exit(m.Run())
+}
+
+// writer saves numbers that must be found together, and says each one once it is saved.
+func writer(path string) {
+	s, err := Open(path)
+	if err != nil {
+		panic(err)
+	}
+	st, err := s.Load()
+	if err != nil {
+		panic(err)
+	}
+	for n := st.Claims.Epoch + 1; ; n++ {
+		if err := s.Save(change(n)); err != nil {
+			panic(err)
+		}
+		fmt.Println(n)
+	}
+}
+
+func change(n uint64) Change {
+	return Change{Claims: &claim.Durable{Epoch: n, Holder: strings.Repeat("h", int(n%50)*100)},
+		Instances: map[string]tend.Record{"n1": {Mark: n, Step: plan.Step{Number: n}}}}
+}
+
+func TestWhatIsSavedIsFound(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "sub", "store.db")
+	s, err := Open(path)
+	require.NoError(t, err)
+	require.NoError(t, s.Save(change(7)))
+	require.NoError(t, s.Save(Change{Wish: &form.Wish{Rollout: "r", Wish: plan.Pause}}))
+	_, err = Open(path)
+	assert.ErrorContains(t, err, "open in another agent")
+	require.NoError(t, s.Close())
+	s, err = Open(path)
+	require.NoError(t, err)
+	st, err := s.Load()
+	require.NoError(t, err)
+	assert.Equal(t, *change(7).Claims, st.Claims)
+	assert.Equal(t, change(7).Instances, st.Instances)
+	assert.Equal(t, plan.Pause, st.Wish.Wish)
+	require.NoError(t, s.Close())
+}
+
+func TestOldRevisionsGoButForThoseInUse(t *testing.T) {
+	s, err := Open(filepath.Join(t.TempDir(), "store.db"))
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	require.NoError(t, s.Save(Change{Instances: map[string]tend.Record{"n1": {Revision: "d0", Before: "d1"}}}))
+	for i := range Kept + 20 {
+		require.NoError(t, s.Save(Change{Revision: &form.Revision{Digest: fmt.Sprint("d", i), At: int64(i), Content: []byte("x")},
+			Rollout: &form.Rollout{Rollout: plan.Rollout{ID: fmt.Sprint("r", i)}, Began: int64(i)}}))
+	}
+	for digest, kept := range map[string]bool{"d0": true, "d1": true, "d2": false, "d119": true} {
+		_, found, err := s.Revision(digest)
+		require.NoError(t, err)
+		assert.Equal(t, kept, found, digest)
+	}
+	list, err := s.Revisions()
+	require.NoError(t, err)
+	assert.Equal(t, "d119", list[0].Digest)
+	assert.Nil(t, list[0].Content)
+	rollouts, err := s.Rollouts()
+	require.NoError(t, err)
+	assert.Len(t, rollouts, Kept)
+	assert.Equal(t, "r119", rollouts[0].ID)
+}
+
+func TestSpoiltAndForeignStoresAreRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "store.db")
+	s, err := Open(path)
+	require.NoError(t, err)
+	require.NoError(t, s.Save(change(1)))
+	require.NoError(t, s.db.Update(func(tx *bbolt.Tx) error {
+		raw := append([]byte{}, tx.Bucket(instancesBucket).Get([]byte("n1"))...)
+		raw[len(raw)-1] ^= 1
+		return tx.Bucket(instancesBucket).Put([]byte("n1"), raw)
+	}))
+	_, err = s.Load()
+	assert.ErrorContains(t, err, "record instances/n1 is spoilt")
+	require.NoError(t, s.db.Update(func(tx *bbolt.Tx) error { return put(tx, metaBucket, formatKey, 99) }))
+	require.NoError(t, s.Close())
+	_, err = Open(path)
+	assert.ErrorContains(t, err, "format 99, and this program knows format 1")
+	require.NoError(t, os.WriteFile(path, []byte(strings.Repeat("no store ", 2000)), 0o600))
+	_, err = Open(path)
+	assert.ErrorContains(t, err, path)
+}
+
+// TestWriterThatIsKilledLosesNothingItSaid kills a process at arbitrary points of its writing.
+func TestWriterThatIsKilledLosesNothingItSaid(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "store.db")
+	for round := range 40 {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "STORE_WRITER="+path)
+		out, err := cmd.StdoutPipe()
+		require.NoError(t, err)
+		require.NoError(t, cmd.Start())
+		said := uint64(0)
+		lines := bufio.NewScanner(out)
+		for n := 0; n <= round%7 && lines.Scan(); n++ {
+			said, err = strconv.ParseUint(lines.Text(), 10, 64)
+			require.NoError(t, err, lines.Text())
+		}
+		require.NoError(t, cmd.Process.Kill())
+		for lines.Scan() {
+			said, _ = strconv.ParseUint(lines.Text(), 10, 64)
+		}
+		_ = cmd.Wait()
+		s, err := Open(path)
+		require.NoError(t, err)
+		st, err := s.Load()
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, st.Claims.Epoch, said)
+		assert.Equal(t, *change(st.Claims.Epoch).Claims, st.Claims)
+		assert.Equal(t, change(st.Claims.Epoch).Instances, st.Instances, "all of a change or none")
+		require.NoError(t, s.Close())
+	}
+}
--- /dev/null
+++ b/internal/lab/stand/member.go
@@ -0,0 +1,210 @@
+// Package stand holds stand-ins of what surrounds a router, on loopback sockets and in real time: members,
+// discovery, clients, and a router that misbehaves as it is told. They speak the published protocols and
+// share no code with the router but the writing of messages.
+package stand
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"stoatdale.example/stoatdale/internal/pg"
+)
+
+const longest = 1 << 20 // bytes of a message
+
+// Row is an answer of one value, as a member sends it: its position is now, and role says "off" of a primary
+// and "on" of a replica.
+func Row(value, role string) []byte {
+	b := pg.Message(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
+	b = pg.Message(b, 'D', binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(value))), []byte(value))
+	b = pg.Message(b, 'C', []byte("SELECT 1\x00"))
+	b = pg.Status(b, "lsn_ms", fmt.Sprint(time.Now().UnixMilli()))
+	return pg.Ready(pg.Status(b, "recovery", role))
+}
+
+// Member is a member of a set. For each statement it sends what Answer returns, and closes the connection
+// if that is nil.
+type Member struct {
+	At     string
+	Answer func(statement string) []byte
+	Asked  atomic.Int64 // statements, without those for its health
+
+	l     net.Listener
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	done  sync.WaitGroup
+}
+
+// NewMember starts one on a free port of loopback.
+func NewMember(answer func(string) []byte) (*Member, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("member: %w", err)
+	}
+	m := &Member{At: l.Addr().String(), Answer: answer, l: l, conns: map[net.Conn]bool{}}
+	m.done.Add(1)
+	go m.accept()
+	return m, nil
+}
+
+// Close ends the member and its connections.
+func (m *Member) Close() {
+	_ = m.l.Close()
+	m.mu.Lock()
+	for c := range m.conns {
+		_ = c.Close()
+	}
+	m.mu.Unlock()
+	m.done.Wait()
+}
+
+func (m *Member) accept() {
+	defer m.done.Done()
+	for {
+		c, err := m.l.Accept()
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		m.conns[c] = true
+		m.mu.Unlock()
+		m.done.Add(1)
+		go m.serve(c)
+	}
+}
+
+func (m *Member) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		m.mu.Lock()
+		delete(m.conns, c)
+		m.mu.Unlock()
+		m.done.Done()
+	}()
+	r := bufio.NewReader(c)
+	var n uint32
+	if binary.Read(r, binary.BigEndian, &n) != nil || n < 4 || n > longest {
+		return
+	}
+	if _, err := r.Discard(int(n) - 4); err != nil {
+		return
+	}
+	_, _ = c.Write(pg.Welcome(nil))
+	for {
+		kind, body, err := pg.Receive(r, longest)
+		if err != nil || kind != 'Q' || len(body) == 0 {
+			return
+		}
+		statement := string(body[:len(body)-1])
+		if statement == "SHOW health" {
+			_, _ = c.Write(Row(fmt.Sprintf("x0=%.3f,x1=0", float64(time.Now().UnixMilli())/1000), "on"))
+			continue
+		}
+		m.Asked.Add(1)
+		b := m.Answer(statement)
+		if b == nil {
+			return
+		}
+		if _, err := c.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+// Entry is a member's line in a list.
+func (m *Member) Entry(id, state, recovery string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"h","cell":2,"lifecycle":%q,"recovery":%q}`,
+		id, m.At, state, recovery)
+}
+
+// List is a whole list in discovery's form.
+func List(generation int, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, generation, strings.Join(entries, ","))
+}
+
+// Client is one connection of a client to a router.
+type Client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// Dial connects and starts up.
+func Dial(at string, within time.Duration) (*Client, error) {
+	c, err := net.DialTimeout("tcp", at, within)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(within))
+	x := &Client{c, bufio.NewReader(c)}
+	if _, err := c.Write(pg.Hello(nil)); err == nil {
+		_, err = x.Reply()
+	}
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return x, nil
+}
+
+// Reply is what came up to ReadyForQuery.
+type Reply struct {
+	Value  string
+	Empty  bool
+	Code   string // of an error
+	Detail string
+}
+
+// Reply reads one answer. An error means that the connection ended in it.
+func (c *Client) Reply() (Reply, error) {
+	var said Reply
+	for {
+		kind, body, err := pg.Receive(c.r, longest)
+		if err != nil {
+			return said, err
+		}
+		switch kind {
+		case 'D':
+			if len(body) >= 6 {
+				said.Value = string(body[6:])
+			}
+		case 'I':
+			said.Empty = true
+		case 'E':
+			for _, f := range strings.Split(string(body), "\x00") {
+				if f != "" && f[0] == 'C' {
+					said.Code = f[1:]
+				}
+				if f != "" && f[0] == 'D' {
+					said.Detail = f[1:]
+				}
+			}
+		case 'Z':
+			return said, nil
+		}
+	}
+}
+
+// Ask sends a query and reads its answer. sent tells whether all of it was written.
+func (c *Client) Ask(text string, within time.Duration) (said Reply, sent bool, err error) {
+	_ = c.SetDeadline(time.Now().Add(within))
+	if _, err := c.Write(pg.Query(nil, text)); err != nil {
+		return said, false, err
+	}
+	said, err = c.Reply()
+	return said, true, err
+}
+
+// Ended tells whether the router has closed the connection while nothing was asked.
+func (c *Client) Ended() bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.r.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/internal/sexp/decode.go
+++ b/internal/sexp/decode.go
@@ -24,7 +24,9 @@
 //
 //   - a string, number, bool, Seconds or encoding.TextUnmarshaler takes one value, a slice of these several;
 //   - a struct takes entries of its own, and a slice of structs one element an entry of that key;
-//   - a string field with the option name takes the value that stands before the entries.
+//   - a pointer stays nil where its key is not given;
+//   - a string field with the option name takes the value that stands before the entries, and a Place with
+//     the option place where the entry stands.
 //
 // Keys that are unknown or given twice, missing ones with the option must, and values of another form are
 // errors of type *Fault.
@@ -35,6 +37,7 @@
 type field struct {
 	key        string
 	must, name bool
+	place      bool
 	value      reflect.Value
 }
 
@@ -48,7 +51,7 @@
 		parts := strings.Split(tag, ",")
 		f := field{key: parts[0], value: v.Field(i)}
 		for _, o := range parts[1:] {
-			f.must, f.name = f.must || o == "must", f.name || o == "name"
+			f.must, f.name, f.place = f.must || o == "must", f.name || o == "name", f.place || o == "place"
 		}
 		out = append(out, f)
 	}
@@ -59,6 +62,10 @@
 	known := map[string]field{}
 	var keys []string
 	for _, f := range fields(v) {
+		if f.place {
+			f.value.Set(reflect.ValueOf(at))
+			continue
+		}
 		if !f.name {
 			known[f.key] = f
 			keys = append(keys, f.key)
@@ -99,6 +106,10 @@
 
 func assign(n Node, key string, v reflect.Value, many bool) error {
 	values := n.List[1:]
+	if v.Kind() == reflect.Pointer {
+		v.Set(reflect.New(v.Type().Elem()))
+		v = v.Elem()
+	}
 	switch {
 	case many:
 		e := reflect.New(v.Type().Elem()).Elem()
@@ -224,10 +235,15 @@
 	var out []Node
 	for _, f := range fields(v) {
 		x := f.value
+		if x.Kind() == reflect.Pointer && !x.IsNil() {
+			out = append(out, List(Atom(f.key), text(x.Elem())))
+			continue
+		}
 		switch {
+		case f.place:
 		case f.name:
 			out = append(out, Atom(x.String()))
-		case x.IsZero():
+		case x.IsZero() && !f.must:
 		case x.Kind() == reflect.Slice && x.Type().Elem().Kind() == reflect.Struct && !isText(x.Type().Elem()):
 			for i := range x.Len() {
 				out = append(out, List(append([]Node{Atom(f.key)}, encode(x.Index(i))...)...))
