--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -64,6 +64,7 @@
 	NothingThere             // no rollout to go on with
 	OtherFleet               // the rollout goes over another list of instances
 	Fenced                   // the claim was taken over by Holder
+	Left                     // the tool was ended by its operator: the rollout waits to be taken up
 )
 
 // Outcome is how a driver ended.
@@ -187,6 +188,14 @@
 // Over tells whether the driver has ended, and how.
 func (d *Driver) Over() (Outcome, bool) { return d.outcome, d.phase == over }
 
+// Quit has the driver give its claim back and end. A step under way goes on by itself.
+func (d *Driver) Quit(now float64) {
+	if d.phase != over && !(d.phase == releasing && d.outcome.Kind != NoMajority) {
+		d.tries = bids
+		d.release(now, Outcome{Kind: Left, Rollout: d.rollout})
+	}
+}
+
 // Events returns what has come about since the last call.
 func (d *Driver) Events() []Event {
 	e := d.events
@@ -201,7 +210,6 @@
 	Serving   int
 	Instances []form.Told
 	Epoch     uint64
-	Why       plan.Reason // of the wait
 }
 
 // View tells how things stand now.
