Drill of a rollout: real routers and agents under load, one agent killed midway

Change: stoatctl drill rollout with checkers of the wire, processes and files, three faults to put in, a baseline without a drain.

--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"sort"
 	"strings"
 
@@ -15,7 +17,7 @@
 	c := &cobra.Command{Use: "drill", Short: "Plays a failure on loopback, with checkers of what must hold",
 		Long: "A drill ends with status 0 if all that must hold held, and 1 if not; with --json its last line is one object. --break puts\n" +
 			"in a fault that its checkers must tell."}
-	c.AddCommand(a.drillClaims())
+	c.AddCommand(a.drillClaims(), a.drillRollout())
 	return c
 }
 
@@ -82,3 +84,48 @@
 	}
 	return nil
 }
+
+func (a *app) drillRollout() *cobra.Command {
+	var d drill.Rollout
+	c := &cobra.Command{Use: "rollout", Short: "Rolls a fleet of real routers on loopback under load, with one agent killed midway",
+		Long: "Real routers and agents, one agent an instance, stand-in members, and clients that count what came of every command. It\n" +
+			"ends with every instance on one revision and no command lost. With --agent-stays-gone the rollout pauses, the\n" +
+			"instance is left out by word, and it ends paused with all others done.\n\nFaults:" + faults(drill.RolloutFaults),
+		Example: "  stoatctl drill rollout --instances 20 --kill-agent --json", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := knownFault(d.Break, drill.RolloutFaults); err != nil {
+				return err
+			}
+			if d.Instances < 3 || d.Instances > 200 {
+				return status(Misused, fmt.Errorf("--instances is 3 to 200, not %d", d.Instances))
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return status(Failed, err)
+			}
+			d.Tool = self
+			if d.Router == "" {
+				d.Router = filepath.Join(filepath.Dir(self), "stoatdale")
+			}
+			if _, err := os.Stat(d.Router); err != nil {
+				return status(Misused, fmt.Errorf("--router: %w", err))
+			}
+			a.seeded(cmd, &d.Seed)
+			d.Say = a.err
+			r, err := drill.RunRollout(cmd.Context(), d)
+			if err != nil {
+				return status(Failed, err)
+			}
+			return a.drilled(r, r.Report)
+		}}
+	c.Flags().IntVar(&d.Instances, "instances", 20, "routers, each with an agent of its own")
+	c.Flags().BoolVar(&d.Kill, "kill-agent", false, "kill an agent in its step midway, and bring it back")
+	c.Flags().BoolVar(&d.Gone, "agent-stays-gone", false, "kill an agent in its step midway, for good")
+	c.Flags().BoolVar(&d.Hard, "hard", false, "the baseline: kill each router and have it started again, without a drain")
+	c.Flags().StringVar(&d.Keep, "keep", "", "folder that keeps logs, stores and spans")
+	c.Flags().StringVar(&d.Router, "router", "", "program of the router; that beside this program if not given")
+	c.Flags().Uint64Var(&d.Seed, "seed", 0, "of all chance; drawn if not given")
+	c.Flags().StringVar(&d.Break, "break", "", "fault to put in")
+	a.asJSON(c)
+	return c
+}
--- a/internal/drill/claims.go
+++ b/internal/drill/claims.go
@@ -89,7 +89,7 @@
 	names  []string
 	limits tend.Limits
 	agents []*actor
-	tools  []*tool
+	tools  []*console
 	spoken int         // holders so far
 	kept   claim.Stamp // newest record that a majority was said to keep
 	ops    []porcupine.Operation
@@ -116,7 +116,7 @@
 	open string // the step that is open
 }
 
-type tool struct {
+type console struct {
 	w       *theatre
 	i       int
 	driver  *roll.Driver
@@ -165,7 +165,7 @@
 		a.birth()
 	}
 	for i := range c.Operators {
-		t := &tool{w: w, i: i}
+		t := &console{w: w, i: i}
 		w.tools = append(w.tools, t)
 		w.at(w.rng.Float64()*0.002, t.start) // within two milliseconds
 	}
@@ -352,7 +352,7 @@
 }
 
 // start has an operator's tool start: it begins a rollout, or goes on with the one there is.
-func (t *tool) start() {
+func (t *console) start() {
 	w := t.w
 	t.life++
 	w.spoken++
@@ -377,13 +377,13 @@
 }
 
 // end has the tool gone, and started again later.
-func (t *tool) end(pause float64) {
+func (t *console) end(pause float64) {
 	t.driver = nil
 	t.life++
 	t.w.at(0.001+pause, t.start)
 }
 
-func (t *tool) turn() {
+func (t *console) turn() {
 	w := t.w
 	sends, wake := t.driver.Tick(w.now)
 	for _, e := range t.driver.Events() {
@@ -428,7 +428,7 @@
 }
 
 // noted keeps when the record of a step was first sent to be kept.
-func (t *tool) noted(c form.Call) {
+func (t *console) noted(c form.Call) {
 	var r form.Rollout
 	if form.Decode("record", c.Record.Body, &r) == nil && r.Step.Number != 0 {
 		key := fmt.Sprint(c.Epoch, r.ID, r.Step.Number)
@@ -452,7 +452,7 @@
 }
 
 // post sends a call. Its answer counts within a second; the call may arrive later, and more than once.
-func (t *tool) post(s roll.Send) {
+func (t *console) post(s roll.Send) {
 	w, life := t.w, t.life
 	answered := false
 	copies := 1
--- a/internal/fleet/agent/process.go
+++ b/internal/fleet/agent/process.go
@@ -255,3 +255,48 @@
 		}
 	}
 }
+
+// EndRouters ends all routers whose files lie under a folder, and tells how many there were. It is for whoever
+// takes a whole fleet down: a drill, a test.
+func EndRouters(folder string) (int, error) {
+	running, err := Running(folder)
+	if err != nil {
+		return 0, err
+	}
+	for _, pids := range running {
+		for _, pid := range pids {
+			if fd, err := unix.PidfdOpen(pid, 0); err == nil {
+				_ = unix.PidfdSendSignal(fd, unix.SIGKILL, nil, 0)
+				_ = unix.Close(fd)
+			}
+		}
+	}
+	return len(running), nil
+}
+
+// Running lists the processes of routers whose files lie under a folder, by the folder of each.
+func Running(under string) (map[string][]int, error) {
+	entries, err := os.ReadDir("/proc")
+	if err != nil {
+		return nil, err
+	}
+	prefix := []byte(markVariable + "=" + under + "/")
+	out := map[string][]int{}
+	for _, e := range entries {
+		pid, err := strconv.Atoi(e.Name())
+		if err != nil {
+			continue
+		}
+		env, err := os.ReadFile(fmt.Sprintf("/proc/%d/environ", pid))
+		if err != nil {
+			continue
+		}
+		for _, v := range bytes.Split(env, []byte{0}) {
+			if bytes.HasPrefix(v, prefix) {
+				folder := filepath.Dir(string(v[len(markVariable)+1:]))
+				out[folder] = append(out[folder], pid)
+			}
+		}
+	}
+	return out, nil
+}
