--- /dev/null
+++ b/internal/fleet/api/api_test.go
@@ -0,0 +1,234 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/fleet/claim"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/keys"
+)
+
+// echo answers with what it was asked, as far as an answer can hold it.
+type echo struct{ fail error }
+
+func (e echo) Handle(_ context.Context, operator string, c form.Call) (form.Reply, error) {
+	return form.Reply{Agent: operator, Fault: string(c.Verb), Revisions: []form.Revision{c.Revision}}, e.fail
+}
+
+type rig struct {
+	t    *testing.T
+	keys keys.Folder
+	at   string
+	mu   sync.Mutex
+	log  bytes.Buffer
+}
+
+func (r *rig) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.Write(p)
+}
+
+func (r *rig) logged() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.String()
+}
+
+func newRig(t *testing.T, v Versions, h Handler) *rig {
+	r := &rig{t: t, keys: keys.Folder(t.TempDir())}
+	require.NoError(t, r.keys.MakeAuthority("f", time.Hour, time.Now()))
+	require.NoError(t, r.keys.Issue(keys.Agent, "a1", time.Minute, time.Now()))
+	require.NoError(t, r.keys.Issue(keys.Operator, "ayla", time.Minute, time.Now()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.at = l.Addr().String()
+	s := NewServer(l, h, r.keys.Source(keys.Agent, "a1"), v, zerolog.New(r))
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() { s.Close(); assert.NoError(t, <-done) })
+	return r
+}
+
+func (r *rig) client(v Versions) *Client {
+	c := NewClient("a1", r.at, r.keys.Source(keys.Operator, "ayla"), v)
+	r.t.Cleanup(c.Close)
+	return c
+}
+
+func TestCallsAreAnswered(t *testing.T) {
+	r := newRig(t, Spoken, echo{})
+	c := r.client(Spoken)
+	for range 3 {
+		got, err := c.Call(context.Background(), form.Call{Verb: form.Look})
+		require.NoError(t, err)
+		assert.Equal(t, "ayla", got.Agent, "known by the certificate")
+		assert.Equal(t, "look", got.Fault)
+	}
+	_, err := c.Call(context.Background(), form.Call{Verb: form.Bid, Bid: claim.Bid{Holder: "ayla/1"}})
+	assert.NoError(t, err)
+	_, err = c.Call(context.Background(), form.Call{Verb: form.Bid, Bid: claim.Bid{Holder: "mehmet/1"}})
+	assert.ErrorContains(t, err, "agent a1: 400 Bad Request: call: operator ayla cannot speak as mehmet/1")
+	big := make([]byte, 4<<20)
+	_, err = c.Call(context.Background(), form.Call{Verb: form.Put, Revision: form.Revision{Content: big}})
+	assert.NoError(t, err)
+	_, err = c.Call(context.Background(), form.Call{Verb: form.Look, Revision: form.Revision{Content: big}})
+	assert.ErrorContains(t, err, "at most for look")
+}
+
+func TestVersionsAreAgreedOnOrTold(t *testing.T) {
+	for _, x := range []struct {
+		agent, tool Versions
+		says        string
+	}{
+		{Versions{1, 2}, Versions{1, 1}, ""}, {Versions{1, 1}, Versions{1, 2}, ""}, {Versions{1, 3}, Versions{2, 5}, ""},
+		{Versions{2, 3}, Versions{1, 1}, "it speaks versions 2 to 3, and this tool 1 to 1"},
+		{Versions{1, 1}, Versions{2, 3}, "it speaks versions 1 to 1, and this tool 2 to 3"},
+	} {
+		c := newRig(t, x.agent, echo{}).client(x.tool)
+		_, err := c.Call(context.Background(), form.Call{Verb: form.Look})
+		if x.says == "" {
+			assert.NoError(t, err, "%v", x)
+		} else {
+			assert.ErrorContains(t, err, x.says)
+		}
+	}
+}
+
+// raw is a connection of an operator that speaks as it likes.
+func (r *rig) raw() net.Conn {
+	conf, err := r.keys.Source(keys.Operator, "ayla").Client("a1")
+	require.NoError(r.t, err)
+	c, err := tls.Dial("tcp", r.at, conf)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func TestWhatIsNoCallIsRefused(t *testing.T) {
+	r := newRig(t, Spoken, echo{})
+	conf, err := r.keys.Source(keys.Operator, "ayla").Client("a1")
+	require.NoError(t, err)
+	h := &http.Client{Transport: &http.Transport{TLSClientConfig: conf}}
+	t.Cleanup(h.CloseIdleConnections)
+	post := func(path, version string, body io.Reader) (int, string) {
+		q, err := http.NewRequest(http.MethodPost, "https://"+r.at+path, body)
+		require.NoError(t, err)
+		q.Header.Set(versionHeader, version)
+		a, err := h.Do(q)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer func() { _ = a.Body.Close() }()
+		raw, _ := io.ReadAll(a.Body)
+		return a.StatusCode, string(raw)
+	}
+	for _, x := range []struct {
+		path, version string
+		body          io.Reader
+		status        int
+		says          string
+	}{
+		{"/", "1", bytes.NewReader(nil), 404, "calls go to /fleet"},
+		{path, "one", bytes.NewReader(nil), 505, "versions 1 to 1"},
+		{path, "", bytes.NewReader(nil), 505, "versions 1 to 1"},
+		{path, "1", bytes.NewReader(nil), 400, "call: "},
+		{path, "1", bytes.NewReader([]byte("{}")), 400, "call: "},
+		{path, "1", bytes.NewReader(form.Encode(map[string]any{"verb": "dance"})), 400, "unknown verb"},
+		{path, "1", io.LimitReader(zeros{}, 100<<20), 413, "too large"},
+	} {
+		status, says := post(x.path, x.version, x.body)
+		if x.status == 413 && status == 0 {
+			continue // it may end the connection before all was written
+		}
+		assert.Equal(t, x.status, status, says)
+		assert.Contains(t, says, x.says)
+	}
+	_, err = r.client(Spoken).Call(context.Background(), form.Call{Verb: form.Look})
+	assert.NoError(t, err)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+func TestHalfRequestsAreEnded(t *testing.T) {
+	r := newRig(t, Spoken, echo{})
+	for _, half := range []string{"POST /fl", "POST /fleet HTTP/1.1\r\nHost: x\r\nFleet-Version: 1\r\nContent-Length: 99\r\n\r\nabc"} {
+		c := r.raw()
+		_, err := c.Write([]byte(half))
+		require.NoError(t, err)
+		require.NoError(t, c.(*tls.Conn).CloseWrite())
+		raw, _ := io.ReadAll(c)
+		if len(raw) > 0 {
+			assert.Contains(t, string(raw), "400 Bad Request")
+		}
+	}
+	long := r.raw()
+	_, err := fmt.Fprintf(long, "POST /fleet HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n", bytes.Repeat([]byte("a"), 64<<10))
+	if err == nil {
+		raw, _ := io.ReadAll(long)
+		assert.Contains(t, string(raw), "431")
+	}
+	_, err = r.client(Spoken).Call(context.Background(), form.Call{Verb: form.Look})
+	assert.NoError(t, err)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	r := newRig(t, Spoken, echo{})
+	for range connections {
+		r.raw()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := r.client(Spoken).Call(ctx, form.Call{Verb: form.Look})
+	assert.ErrorContains(t, err, "no answer in time")
+}
+
+func TestWrongCertificatesAreRefusedAndTold(t *testing.T) {
+	r := newRig(t, Spoken, echo{})
+	other := keys.Folder(t.TempDir())
+	require.NoError(t, other.MakeAuthority("g", time.Hour, time.Now()))
+	require.NoError(t, other.Issue(keys.Operator, "ayla", time.Minute, time.Now()))
+	stranger := NewClient("a1", r.at, keys.Source{Own: other.File(keys.Operator, "ayla"), Trusted: r.keys.Trusted(), Now: time.Now}, Spoken)
+	defer stranger.Close()
+	_, err := stranger.Call(context.Background(), form.Call{Verb: form.Look})
+	assert.ErrorContains(t, err, "it refuses this operator's certificate")
+	assert.Contains(t, r.logged(), "operator ayla is from an authority that is not trusted here")
+	misled := NewClient("a2", r.at, r.keys.Source(keys.Operator, "ayla"), Spoken)
+	defer misled.Close()
+	_, err = misled.Call(context.Background(), form.Call{Verb: form.Look})
+	assert.ErrorContains(t, err, "agent a1's, and should be agent a2's")
+	// Renewed in place: the next connection uses it.
+	c := r.client(Spoken)
+	_, err = c.Call(context.Background(), form.Call{Verb: form.Look})
+	require.NoError(t, err)
+	require.NoError(t, r.keys.Issue(keys.Agent, "a1", 30*time.Second, time.Now()))
+	c.Close()
+	_, err = c.Call(context.Background(), form.Call{Verb: form.Look})
+	assert.NoError(t, err)
+}
+
+func TestFaultsOfTheWay(t *testing.T) {
+	r := newRig(t, Spoken, echo{fail: errors.New("busy")})
+	_, err := r.client(Spoken).Call(context.Background(), form.Call{Verb: form.Look})
+	assert.ErrorContains(t, err, "agent a1: 503 Service Unavailable: busy")
+	c := NewClient("a1", "127.0.0.1:1", r.keys.Source(keys.Operator, "ayla"), Spoken)
+	_, err = c.Call(context.Background(), form.Call{Verb: form.Look})
+	assert.ErrorContains(t, err, "it cannot be reached")
+}
--- a/internal/fleet/claim/claim_test.go
+++ b/internal/fleet/claim/claim_test.go
@@ -168,3 +168,9 @@
 		}
 	})
 }
+
+func TestClockThatGoesBackStandsStill(t *testing.T) {
+	l := fresh()
+	l.Bid(50, Bid{Epoch: 1, Holder: "a"})
+	assert.Equal(t, Standing{Epoch: 1, Holder: "a", Held: true, Left: 10}, l.Standing(40))
+}
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -344,3 +344,23 @@
 		})
 	}
 }
+
+func TestStepIsSentOnlyWhileItMayBe(t *testing.T) {
+	p := begun()
+	s := calm(p.Fleet, 0)
+	p.Rollout = p.Next(0, s, Nothing).Rollout
+	s[1].Life = Down // the other one of its hall, by itself
+	d := p.Next(0, s, Nothing)
+	assert.Equal(t, Wait, d.What)
+	assert.Equal(t, HallFloor, d.Why.Kind)
+	s[1].Life = Ready
+	assert.Equal(t, Repeat, p.Next(0, s, Nothing).What)
+	s[4].Seen = -5
+	assert.Equal(t, Unheard, p.Next(0, s, Nothing).Why.Kind)
+	s[4].Seen = 0
+	s[0].Life, s[1].Life = Down, Down
+	assert.Equal(t, Repeat, p.Next(0, s, Nothing).What, "one that does not serve can only gain")
+	d = p.Refused("full")
+	assert.Equal(t, Reason{Kind: Refused, Detail: "full"}, d.Rollout.Why)
+	assert.NotZero(t, d.Rollout.Step.Number)
+}
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -671,8 +671,8 @@
 func (d *Driver) follow(now float64, dec plan.Decision) {
 	r := d.rollout
 	r.Rollout = dec.Rollout
-	if dec.Why.Kind == plan.ByWord {
-		r.Asked = d.wish().By
+	if by := d.wish().By; by != "" && dec.Why.Kind == plan.ByWord {
+		r.Asked = by
 	}
 	d.keep(now, r, dec.What, dec.Why)
 }
--- a/internal/fleet/tend/instance_test.go
+++ b/internal/fleet/tend/instance_test.go
@@ -430,3 +430,14 @@
 	r, _ = call(form.Call{Verb: form.Put})
 	assert.NotEmpty(t, r.Fault)
 }
+
+func TestStepThatTouchedNothingIsUndoneAlsoIfTheRouterIsGone(t *testing.T) {
+	w := serving(t)
+	w.step(2, "b") // stored, and the agent dies; then its router too
+	w.process.runs = false
+	w.birth()
+	w.run(5)
+	assert.Equal(t, plan.Undone, w.x.End)
+	assert.Equal(t, "a", w.process.file)
+	assert.Equal(t, plan.Ready, w.x.life)
+}
--- /dev/null
+++ b/internal/fleet/tool/tool_test.go
@@ -0,0 +1,328 @@
+package tool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/fleet/agent"
+	"stoatdale.example/stoatdale/internal/fleet/api"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/fleet/layout"
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+	"stoatdale.example/stoatdale/internal/fleet/revision"
+	"stoatdale.example/stoatdale/internal/fleet/roll"
+	"stoatdale.example/stoatdale/internal/keys"
+	"stoatdale.example/stoatdale/internal/lab/stand"
+)
+
+// patience ends a test that hangs; no test that passes waits for it.
+const patience = 60 * time.Second
+
+// TestMain is also the stand-in router that agents start.
+func TestMain(m *testing.M) {
+	if os.Getenv("STOATDALE_MARK") != "" {
+		stand.Router()
+	}
+	os.Exit(m.Run())
+}
+
+// rig is a fleet of agents in this process, with stand-in routers, spoken to over TLS.
+type rig struct {
+	t      *testing.T
+	fleet  *layout.Fleet
+	keys   keys.Folder
+	agents []func() // that end them
+	mu     sync.Mutex
+}
+
+func ports(t *testing.T, n int) (out []string) {
+	t.Helper()
+	var held []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		held = append(held, l)
+		out = append(out, l.Addr().String())
+	}
+	for _, l := range held {
+		require.NoError(t, l.Close())
+	}
+	return out
+}
+
+// newRig has n agents with one instance each, in one hall.
+func newRig(t *testing.T, n int) *rig {
+	dir := t.TempDir()
+	at := ports(t, 2*n)
+	text := fmt.Sprintf("(name t) (floor %d) (hall h (floor 1)) (times (soak 200ms) (fresh 1s) (contact 2s) (step 20s) (claim 2s) (look 50ms) (ready 2s) (grace 100ms))\n", n-1)
+	for i := range n {
+		text += fmt.Sprintf("(agent a%d (listen %s) (hall h) (folder %q) (program %q))\n(instance n%d (agent a%d) (listen %s))\n",
+			i, at[2*i], filepath.Join(dir, fmt.Sprint("a", i)), os.Args[0], i, i, at[2*i+1])
+	}
+	f, err := layout.Parse("f", []byte(text))
+	require.NoError(t, err)
+	r := &rig{t: t, fleet: f, keys: keys.Folder(filepath.Join(dir, "keys")), agents: make([]func(), n)}
+	require.NoError(t, r.keys.MakeAuthority("t", time.Hour, time.Now()))
+	for _, o := range []string{"ayla", "mehmet"} {
+		require.NoError(t, r.keys.Issue(keys.Operator, o, time.Minute, time.Now()))
+	}
+	for i := range n {
+		require.NoError(t, r.keys.Issue(keys.Agent, fmt.Sprint("a", i), time.Minute, time.Now()))
+		r.start(i)
+	}
+	t.Cleanup(func() {
+		for _, end := range r.agents {
+			if end != nil {
+				end()
+			}
+		}
+		for n := 1; n > 0; time.Sleep(5 * time.Millisecond) {
+			var err error
+			n, err = agent.EndRouters(dir)
+			require.NoError(t, err)
+		}
+	})
+	return r
+}
+
+// start starts an agent; its end is like a kill: routers go on, nothing is saved.
+func (r *rig) start(i int) {
+	me := &r.fleet.Agents[i]
+	s, err := agent.OpenStore(me)
+	require.NoError(r.t, err)
+	a, err := agent.New(r.fleet, me.Name, "test", s, zerolog.New(io.Discard))
+	require.NoError(r.t, err)
+	l, err := net.Listen("tcp", me.Listen.String())
+	require.NoError(r.t, err)
+	server := api.NewServer(l, a, r.keys.Source(keys.Agent, me.Name), api.Spoken, zerolog.New(io.Discard))
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Add(2)
+	go func() { defer done.Done(); _ = server.Serve() }()
+	go func() { defer done.Done(); a.Run(ctx) }()
+	r.agents[i] = func() { server.Close(); cancel(); done.Wait(); _ = s.Close() }
+}
+
+func (r *rig) end(i int) { r.agents[i](); r.agents[i] = nil }
+
+func (r *rig) tool(operator string) *Tool {
+	t, err := New(r.fleet, r.keys, operator, zerolog.New(io.Discard))
+	require.NoError(r.t, err)
+	r.t.Cleanup(t.Close)
+	return t
+}
+
+// push pushes a revision whose routers conduct themselves so; sockets make it another one.
+func (r *rig) push(t *Tool, name string, conduct stand.Conduct, sockets int) form.Revision {
+	r.t.Helper()
+	doc := stand.Deployment("127.0.0.1:9", 0.1, map[string]any{"stand": conduct, "limits": map[string]any{"sockets": sockets}})
+	file := filepath.Join(r.t.TempDir(), name+".json")
+	require.NoError(r.t, os.WriteFile(file, stand.JSON(doc), 0o600))
+	content, err := t.Read(file)
+	require.NoError(r.t, err)
+	p := t.Push(context.Background(), content, name)
+	require.Empty(r.t, p.Missing)
+	return form.Revision{Digest: p.Digest, Name: name}
+}
+
+func (r *rig) drive(t *Tool, task roll.Task, watch func(roll.View, []roll.Event)) roll.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return t.Drive(ctx, task, watch)
+}
+
+func (r *rig) complete(o roll.Outcome) {
+	r.t.Helper()
+	require.Equal(r.t, roll.Ended, o.Kind, "%v", o)
+	require.Equal(r.t, plan.Complete, o.Rollout.State, "%v", o)
+}
+
+func (r *rig) allRun(t *Tool, digest string) {
+	r.t.Helper()
+	s := t.Status(context.Background())
+	for _, x := range s.Instances {
+		assert.Equal(r.t, revision.Short(digest), x.Revision, x.Name)
+		assert.Equal(r.t, "ready", x.Life, x.Name)
+	}
+}
+
+func TestBadRevisionsEndOnTheOldOne(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 3)
+	ayla := r.tool("ayla")
+	good := r.push(ayla, "good", stand.Conduct{}, 100)
+	r.complete(r.drive(ayla, ayla.Begin(good, false), nil))
+	time.Sleep(1200 * time.Millisecond) // counters are read once a second
+	for name, c := range map[string]struct {
+		conduct stand.Conduct
+		says    string
+	}{
+		"exits":  {stand.Conduct{Exit: 7}, "it ended with status 7: stand-in: told to end"},
+		"silent": {stand.Conduct{Silent: true}, "it was not ready within 2 s"},
+		"fails":  {stand.Conduct{Fails: true}, "commands unanswered in its soak, a larger share than before"},
+	} {
+		if name == "fails" {
+			r.fleet.Times.Soak = 2 // long enough for a reading of the counters
+		}
+		o := r.drive(ayla, ayla.Begin(r.push(ayla, name, c.conduct, 100), true), nil)
+		assert.Equal(t, plan.RolledBack, o.Rollout.State, name)
+		assert.Contains(t, ayla.Explain(o.Reason), c.says)
+		assert.Contains(t, ayla.Explain(o.Reason), "instance n0")
+		r.allRun(ayla, good.Digest)
+		r.fleet.Times.Soak = 0.2
+	}
+	file := filepath.Join(t.TempDir(), "x.json")
+	require.NoError(t, os.WriteFile(file, []byte(`{"discovery":"nowhere"}`), 0o600))
+	_, err := ayla.Read(file)
+	assert.ErrorContains(t, err, "x.json: instance n0: discovery:", "refused before any agent is asked")
+}
+
+func TestToolDiesAndAnotherGoesOnFromAnotherMachine(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 4)
+	ayla, mehmet := r.tool("ayla"), r.tool("mehmet")
+	a := r.push(ayla, "a", stand.Conduct{}, 100)
+	r.complete(r.drive(ayla, ayla.Begin(a, false), nil))
+	b := r.push(ayla, "b", stand.Conduct{Ready: 0.2}, 101)
+	ctx, kill := context.WithCancel(context.Background())
+	began := 0
+	o := ayla.Drive(ctx, ayla.Begin(b, false), func(v roll.View, events []roll.Event) {
+		for _, e := range events {
+			if e.What == plan.Begin {
+				if began++; began == 2 {
+					kill()
+				}
+			}
+		}
+	})
+	require.Equal(t, roll.Left, o.Kind)
+	s := mehmet.Status(context.Background())
+	require.NotNil(t, s.Rollout)
+	assert.Equal(t, "running", s.Rollout.State)
+	assert.Equal(t, "ayla", s.Rollout.By)
+	assert.Equal(t, roll.Unfinished, r.drive(mehmet, mehmet.Begin(a, false), nil).Kind)
+	steps := 0
+	o = r.drive(mehmet, roll.Task{Verb: roll.Resume, By: "mehmet"}, func(_ roll.View, events []roll.Event) {
+		for _, e := range events {
+			if e.What == plan.Begin {
+				steps++
+			}
+		}
+	})
+	r.complete(o)
+	assert.LessOrEqual(t, steps, 3, "it goes on where the other was")
+	r.allRun(mehmet, b.Digest)
+	o = r.drive(mehmet, roll.Task{Verb: roll.Rollback, By: "mehmet"}, nil)
+	assert.Equal(t, plan.RolledBack, o.Rollout.State)
+	r.allRun(mehmet, a.Digest)
+	h, err := ayla.History(context.Background())
+	require.NoError(t, err)
+	assert.Len(t, h.Revisions, 2)
+	assert.Len(t, h.Rollouts, 2)
+}
+
+func TestTwoOperatorsAtOnceOneRollsTheOtherIsTold(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 4)
+	ayla, mehmet := r.tool("ayla"), r.tool("mehmet")
+	a, b := r.push(ayla, "a", stand.Conduct{}, 100), r.push(mehmet, "b", stand.Conduct{}, 101)
+	var got [2]roll.Outcome
+	var both sync.WaitGroup
+	for i, x := range []struct {
+		t *Tool
+		r form.Revision
+	}{{ayla, a}, {mehmet, b}} {
+		both.Add(1)
+		go func() { defer both.Done(); got[i] = r.drive(x.t, x.t.Begin(x.r, false), nil) }()
+	}
+	both.Wait()
+	won := -1
+	for i, o := range got {
+		if o.Kind == roll.Ended && o.Rollout.State == plan.Complete {
+			assert.Equal(t, -1, won, "both cannot have it")
+			won = i
+		}
+	}
+	require.NotEqual(t, -1, won, "%v", got)
+	loser := got[1-won]
+	assert.Equal(t, roll.Held, loser.Kind)
+	assert.True(t, strings.HasPrefix(loser.Holder.Holder, []string{"ayla/", "mehmet/"}[won]), loser.Holder.Holder)
+	r.allRun(ayla, []form.Revision{a, b}[won].Digest)
+}
+
+func TestAnotherOperatorPausesAndAGoneAgentIsLeftOut(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 4)
+	r.fleet.Floor = 2
+	ayla, mehmet := r.tool("ayla"), r.tool("mehmet")
+	a := r.push(ayla, "a", stand.Conduct{}, 100)
+	r.complete(r.drive(ayla, ayla.Begin(a, false), nil))
+	b := r.push(ayla, "b", stand.Conduct{Ready: 0.3}, 101)
+	asked := false
+	o := r.drive(ayla, ayla.Begin(b, false), func(v roll.View, events []roll.Event) {
+		if !asked && v.Rollout.Step.Number == 1 {
+			asked = true
+			assert.Equal(t, 4, mehmet.Ask(context.Background(), v.Rollout, plan.Pause))
+		}
+	})
+	assert.Equal(t, plan.Paused, o.Rollout.State)
+	assert.Equal(t, "mehmet", o.Rollout.Asked)
+	r.end(3)
+	o = r.drive(mehmet, roll.Task{Verb: roll.Resume, By: "mehmet"}, nil)
+	assert.Equal(t, plan.Paused, o.Rollout.State)
+	assert.Contains(t, mehmet.Explain(o.Reason), "agent a3 of instance n3 is not heard from")
+	o = r.drive(mehmet, roll.Task{Verb: roll.Resume, By: "mehmet", LeaveOut: []int{3}}, nil)
+	assert.Equal(t, "1 instances were left out and are not done", mehmet.Explain(o.Reason))
+	r.start(3)
+	r.complete(r.drive(ayla, roll.Task{Verb: roll.Resume, By: "ayla"}, nil))
+	r.allRun(ayla, b.Digest)
+}
+
+func TestEffectsAndFinding(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 3)
+	ayla := r.tool("ayla")
+	a := r.push(ayla, "a", stand.Conduct{}, 100)
+	effects := func(sockets int, discovery string) []Effect {
+		doc := stand.Deployment(discovery, 0.1, map[string]any{"stand": stand.Conduct{}, "limits": map[string]any{"sockets": sockets}})
+		content, err := revision.Canonical("f", stand.JSON(doc))
+		require.NoError(t, err)
+		e, err := ayla.Effects(context.Background(), content)
+		require.NoError(t, err)
+		return e
+	}
+	assert.Equal(t, Effect{Instance: "n0", How: "start"}, effects(100, "127.0.0.1:9")[0])
+	r.complete(r.drive(ayla, ayla.Begin(a, false), nil))
+	assert.Equal(t, Effect{Instance: "n0", How: "none"}, effects(100, "127.0.0.1:9")[0])
+	assert.Equal(t, Effect{Instance: "n1", How: "reload"}, effects(100, "127.0.0.1:10")[1])
+	assert.Equal(t, Effect{Instance: "n2", How: "restart", Keys: []string{"limits"}}, effects(101, "127.0.0.1:9")[2])
+	found, err := ayla.Find(context.Background(), a.Digest[:6])
+	require.NoError(t, err)
+	assert.Equal(t, a.Digest, found.Digest)
+	_, err = ayla.Find(context.Background(), "nothing")
+	assert.ErrorContains(t, err, `no agent keeps a revision "nothing"`)
+	_, err = New(r.fleet, r.keys, "nobody", zerolog.Nop())
+	assert.ErrorContains(t, err, "operator nobody:")
+	path := filepath.Join(t.TempDir(), "spans")
+	spans, err := ayla.NewTrace(path)
+	require.NoError(t, err)
+	o := r.drive(ayla, ayla.Begin(a, true), spans.Watch)
+	r.complete(o)
+	require.NoError(t, spans.Close(o))
+	raw, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, 3, strings.Count(string(raw), `"Name":"step"`))
+	assert.Equal(t, 1, strings.Count(string(raw), `"Name":"rollout"`))
+}
