stoatctl from the command line in tests; drill of sizes; unknown commands are told

Need: scripts rely on exit statuses, and growth must be known. Change: tests that run the programs, drill sizes with stand-in agents over TLS, groups that refuse unknown commands, checks for leaked goroutines and a lean router.

--- a/cmd/stoatdale/main_test.go
+++ b/cmd/stoatdale/main_test.go
@@ -340,6 +340,14 @@
 	}
 }
 
+func TestProgramIsLean(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	require.NoError(t, err)
+	for _, heavy := range []string{"cobra", "bbolt", "opentelemetry", "participle", "internal/fleet", "internal/cli", "internal/lab"} {
+		assert.NotContains(t, string(out), heavy, "this belongs to stoatctl")
+	}
+}
+
 func TestCommandIsAnsweredWithTheMembersValue(t *testing.T) {
 	b := newMember(t, says("on"))
 	r := start(t, entry(b, "b", "ready", "on"))
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -94,7 +94,23 @@
 	}
 	root.PersistentFlags().StringVar(&a.level, "log", "warn", "least level that is logged on standard error: debug, info, warn, error")
 	root.AddCommand(a.fleet(), a.agent(), a.keys(), a.drill(), a.version())
-	return root
+	return group(root)
+}
+
+// group is a command that only holds others: an unknown one is an error, not a page of help.
+func group(c *cobra.Command) *cobra.Command {
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return c.Help()
+		}
+		hint := ""
+		if near := c.SuggestionsFor(args[0]); len(near) > 0 {
+			hint = "; did you mean " + near[0] + "?"
+		}
+		return status(Misused, fmt.Errorf("unknown command %q for %s%s", args[0], c.CommandPath(), hint))
+	}
+	c.SuggestionsMinimumDistance = 2
+	return c
 }
 
 // asJSON gives a command the flag --json.
--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -17,8 +17,8 @@
 	c := &cobra.Command{Use: "drill", Short: "Plays a failure on loopback, with checkers of what must hold",
 		Long: "A drill ends with status 0 if all that must hold held, and 1 if not; with --json its last line is one object. --break puts\n" +
 			"in a fault that its checkers must tell."}
-	c.AddCommand(a.drillClaims(), a.drillRollout())
-	return c
+	c.AddCommand(a.drillClaims(), a.drillRollout(), a.drillSizes())
+	return group(c)
 }
 
 // seeded draws a seed if none was given, and tells it.
@@ -129,3 +129,30 @@
 	a.asJSON(c)
 	return c
 }
+
+func (a *app) drillSizes() *cobra.Command {
+	var d drill.Sizes
+	c := &cobra.Command{Use: "sizes", Short: "Measures how a plan step and fleet status grow with the fleet",
+		Long:    "Stand-in agents in this process answer over TLS. The largest fleet by default needs 2,000 descriptors.",
+		Example: "  stoatctl drill sizes --instances 20,200,2000,20000 --json", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if d.PerAgent < 1 || d.Rounds < 1 || len(d.Instances) == 0 {
+				return status(Misused, fmt.Errorf("--instances, --per-agent and --rounds must be above 0"))
+			}
+			for _, n := range d.Instances {
+				if n < 1 || n > 100000 {
+					return status(Misused, fmt.Errorf("--instances: %d is not within 1 and 100000", n))
+				}
+			}
+			r, err := drill.RunSizes(cmd.Context(), d)
+			if err != nil {
+				return status(Failed, err)
+			}
+			return a.drilled(r, r.Report)
+		}}
+	c.Flags().IntSliceVar(&d.Instances, "instances", []int{20, 200, 2000, 20000}, "sizes of the fleet")
+	c.Flags().IntVar(&d.PerAgent, "per-agent", 20, "instances of one agent")
+	c.Flags().IntVar(&d.Rounds, "rounds", 9, "times that status is asked for, over connections that stand")
+	a.asJSON(c)
+	return c
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -53,7 +53,7 @@
 		a.halt(&f, "pause", "Pauses the rollout before its next step", plan.Pause, roll.Halt),
 		a.halt(&f, "abort", "Gives the rollout up: instances stay as they are", plan.Abort, roll.Abandon),
 		a.history(&f), a.claimed(&f))
-	return c
+	return group(c)
 }
 
 func (a *app) check() *cobra.Command {
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -98,7 +98,7 @@
 	show.Flags().IntVar(&warn, "warn", 0, "days before the end from which a certificate is told of")
 	a.asJSON(show)
 	c.AddCommand(initial, renew, issue, show)
-	return c
+	return group(c)
 }
 
 // grid is a table for people.
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 	"golang.org/x/sys/unix"
 
 	"stoatdale.example/stoatdale/internal/fleet/claim"
@@ -36,7 +37,7 @@
 	if os.Getenv(markVariable) != "" {
 		stand.Router()
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // faulty is a store that can be told to fail.
--- a/internal/fleet/tool/tool_test.go
+++ b/internal/fleet/tool/tool_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"stoatdale.example/stoatdale/internal/fleet/agent"
 	"stoatdale.example/stoatdale/internal/fleet/api"
@@ -35,7 +36,7 @@
 	if os.Getenv("STOATDALE_MARK") != "" {
 		stand.Router()
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // rig is a fleet of agents in this process, with stand-in routers, spoken to over TLS.
