A rollout keeps why it turned; tests listen on hosts of their own

Need: a rollout whose way back pauses lost its first cause, and a port that was free a moment ago may go to an outgoing connection. Change: the record holds the cause beside the reason; stand.Host gives loopback hosts that nothing else is given.

--- a/cmd/stoatctl/main_test.go
+++ b/cmd/stoatctl/main_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -76,17 +75,10 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, dir: t.TempDir()}
-	var at []string
-	for range 6 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
-		at = append(at, l.Addr().String())
-	}
 	text := "(name t) (floor 2) (hall h (floor 2)) (times (soak 200ms) (fresh 1s) (contact 2s) (claim 2s) (look 50ms) (ready 3s) (grace 100ms))\n"
 	for i := range 3 {
 		text += fmt.Sprintf("(agent a%d (listen %s) (hall h) (folder a%d) (program %q))\n(instance n%d (agent a%d) (listen %s))\n",
-			i, at[i], i, filepath.Join(bin, "stoatdale"), i, i, at[3+i])
+			i, stand.Host()+":7400", i, filepath.Join(bin, "stoatdale"), i, i, stand.Host()+":5432")
 	}
 	r.write("fleet.sexp", text)
 	r.ok("keys", "init", "t")
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -146,7 +146,7 @@
 	if r := s.Rollout; r != nil {
 		fmt.Fprintf(w, "rollout %s of revision %s by %s, begun %s: %s", r.ID, r.Revision, r.By, r.Began, r.State)
 		if r.Back {
-			fmt.Fprint(w, ", going back")
+			fmt.Fprintf(w, ", going back (%s)", r.Cause)
 		}
 		if r.Why != "" {
 			fmt.Fprint(w, ": ", r.Why)
@@ -566,6 +566,9 @@
 				code = Done
 			}
 			err = fmt.Errorf("the rollout is paused: %s", r.Why)
+			if r.Back {
+				err = fmt.Errorf("%w; it was going back: %s", err, r.Cause)
+			}
 		case plan.RolledBack:
 			if o.Reason.Kind != plan.ByWord {
 				code = Failed
--- a/internal/drill/rollout.go
+++ b/internal/drill/rollout.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"sort"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -214,7 +213,6 @@
 
 // layOut writes the fleet file: three halls, one agent an instance.
 func (s *stage) layOut() error {
-	net := fmt.Sprintf("127.%d.%d.", 16+os.Getpid()>>8&0x7f, os.Getpid()&0xff) // so that two drills do not meet
 	away := s.away()
 	f := layout.Fleet{Name: "drill", Floor: s.Instances - away, Times: layout.Times{Soak: 0.3, Fresh: 1, Contact: 6, Step: 60,
 		Claim: 4, Look: 0.1, Ready: 10, Grace: 1}}
@@ -223,7 +221,7 @@
 	for i := range s.Instances {
 		hall, agent := i*halls/s.Instances, fmt.Sprint("a", i+1)
 		counts[hall]++
-		host := net + strconv.Itoa(i+1)
+		host := stand.Host()
 		f.Agents = append(f.Agents, layout.Agent{Name: agent, Hall: fmt.Sprint("hall", hall+1),
 			Listen: netip.MustParseAddrPort(host + ":7400"), Folder: filepath.Join(s.dir, agent), Program: s.Router})
 		f.Instances = append(f.Instances, layout.Instance{Name: fmt.Sprint("n", i+1), Agent: agent,
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -64,18 +62,10 @@
 	number uint64
 }
 
-func port(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 func newRig(t *testing.T) *rig {
 	dir := t.TempDir()
 	text := fmt.Sprintf(`(name t) (floor 0) (times (ready 2s) (grace 200ms)) (hall h (floor 0))
-		(agent a (listen 127.0.0.1:1) (hall h) (folder %q) (program %q)) (instance n (agent a) (listen %s))`, dir, os.Args[0], port(t))
+		(agent a (listen 127.0.0.1:1) (hall h) (folder %q) (program %q)) (instance n (agent a) (listen %s))`, dir, os.Args[0], stand.Host()+":5432")
 	f, err := layout.Parse("f", []byte(text))
 	require.NoError(t, err)
 	r := &rig{t: t, fleet: f, folder: dir}
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -124,7 +124,8 @@
 	Restart  bool // restart also what a reload would do for
 	Back     bool // it goes back to what ran before
 	State    State
-	Why      Reason // it paused or turned
+	Why      Reason // it paused or ended
+	Cause    Reason // it turned
 	Out      []int  // instances left out by an operator's word, in order
 	Step     Step   // under way; Number 0: none
 	Was      Tally  // of the step's instance before it
@@ -371,7 +372,7 @@
 	case left > 0:
 		return p.finish(Paused, Reason{Kind: LeftOut, Have: left})
 	case p.Rollout.Back:
-		return p.finish(RolledBack, p.Rollout.Why)
+		return p.finish(RolledBack, p.Rollout.Cause)
 	}
 	return p.finish(Complete, Reason{})
 }
@@ -485,7 +486,7 @@
 
 func (p *Planner) turn(why Reason) Decision {
 	r := p.Rollout
-	r.Back, r.Step, r.Why, r.Undone = true, Step{}, why, 0
+	r.Back, r.Step, r.Cause, r.Undone = true, Step{}, why, 0
 	return p.keep(Turn, r, why)
 }
 
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -141,7 +141,7 @@
 		c.spoil(&s[0])
 		d := p.Next(0, s, Nothing)
 		require.Equal(t, Turn, d.What, name)
-		assert.Equal(t, c.kind, d.Rollout.Why.Kind, name)
+		assert.Equal(t, c.kind, d.Rollout.Cause.Kind, name)
 		p.Rollout = d.Rollout
 		d = p.Next(0, s, Nothing)
 		require.Equal(t, Begin, d.What, name)
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -646,7 +646,7 @@
 		return r, nil
 	case Rollback:
 		if !r.Back {
-			r.Back, r.Why = true, plan.Reason{Kind: plan.ByWord}
+			r.Back, r.Cause = true, plan.Reason{Kind: plan.ByWord}
 		}
 		r.Asked = d.task.By
 	}
--- a/internal/fleet/tool/tool.go
+++ b/internal/fleet/tool/tool.go
@@ -140,6 +140,7 @@
 	State    string   `json:"state"`
 	Back     bool     `json:"back"`
 	Why      string   `json:"why,omitempty"`
+	Cause    string   `json:"cause,omitempty"` // it goes back
 	By       string   `json:"by"`
 	Asked    string   `json:"asked,omitempty"`
 	Began    string   `json:"began"`
@@ -242,7 +243,7 @@
 // Rollout is one for people.
 func (t *Tool) Rollout(r form.Rollout) *RolloutState {
 	s := &RolloutState{ID: r.ID, Revision: revision.Short(r.Revision), Name: r.Name, State: r.State.String(), Back: r.Back,
-		Why: t.Explain(r.Why), By: r.By, Asked: r.Asked, Began: time.Unix(r.Began, 0).UTC().Format(time.RFC3339), Steps: r.Steps}
+		Why: t.Explain(r.Why), Cause: t.Explain(r.Cause), By: r.By, Asked: r.Asked, Began: time.Unix(r.Began, 0).UTC().Format(time.RFC3339), Steps: r.Steps}
 	for _, i := range r.Out {
 		s.Out = append(s.Out, t.name(i))
 	}
--- a/internal/fleet/tool/tool_test.go
+++ b/internal/fleet/tool/tool_test.go
@@ -48,29 +48,13 @@
 	mu     sync.Mutex
 }
 
-func ports(t *testing.T, n int) (out []string) {
-	t.Helper()
-	var held []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		held = append(held, l)
-		out = append(out, l.Addr().String())
-	}
-	for _, l := range held {
-		require.NoError(t, l.Close())
-	}
-	return out
-}
-
 // newRig has n agents with one instance each, in one hall.
 func newRig(t *testing.T, n int) *rig {
 	dir := t.TempDir()
-	at := ports(t, 2*n)
 	text := fmt.Sprintf("(name t) (floor %d) (hall h (floor 1)) (times (soak 200ms) (fresh 1s) (contact 2s) (step 20s) (claim 2s) (look 50ms) (ready 2s) (grace 100ms))\n", n-1)
 	for i := range n {
 		text += fmt.Sprintf("(agent a%d (listen %s) (hall h) (folder %q) (program %q))\n(instance n%d (agent a%d) (listen %s))\n",
-			i, at[2*i], filepath.Join(dir, fmt.Sprint("a", i)), os.Args[0], i, i, at[2*i+1])
+			i, stand.Host()+":7400", filepath.Join(dir, fmt.Sprint("a", i)), os.Args[0], i, i, stand.Host()+":5432")
 	}
 	f, err := layout.Parse("f", []byte(text))
 	require.NoError(t, err)
