--- a/internal/fleet/layout/layout_test.go
+++ b/internal/fleet/layout/layout_test.go
@@ -67,3 +67,10 @@
 	_, err = Load("/nowhere/fleet.sexp")
 	assert.ErrorContains(t, err, "fleet file")
 }
+
+func TestExampleIsRight(t *testing.T) {
+	f, err := Load("../../../deploy/fleet.sexp")
+	require.NoError(t, err)
+	assert.Equal(t, plan.NoReason, plan.Possible(f.Plan(), nil).Kind)
+	assert.Len(t, f.Instances, 6)
+}
