--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,7 +31,7 @@
 	Set      int // by Core.Set
 	Session  uint64
 	Repeat   bool
-	WriteAge float64 // seconds since the session's last write; 0: not told
+	WriteAge float64 // seconds since the session's last write, below 0 if ahead of this clock; 0: not told
 	GiveUp   float64 // the client stops waiting
 	Text     buffer.Chain
 	From, To int // where the digits of the time to wait stand in the text
--- /dev/null
+++ b/internal/explore/explore_test.go
@@ -0,0 +1,139 @@
+package explore
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// counters is a system of two numbers that grow to a most; bad and dead are sums that break a property, and
+// from which nothing goes on.
+type counters struct {
+	a, b, most, bad, dead int
+}
+
+func (c *counters) Steps() (s []string) {
+	if c.a+c.b == c.dead && c.dead > 0 {
+		return nil
+	}
+	if c.a < c.most {
+		s = append(s, "grow a")
+	}
+	if c.b < c.most {
+		s = append(s, "grow b")
+	}
+	return s
+}
+
+func (c *counters) Take(step string) {
+	if step == "grow a" {
+		c.a++
+	} else {
+		c.b++
+	}
+}
+
+func (c *counters) Fingerprint(h *Hash) { h.Value(c) }
+
+func (c *counters) Broken() (string, string) {
+	if c.bad > 0 && c.a == c.bad && c.b == 1 {
+		return "never so", fmt.Sprint(c.a)
+	}
+	return "", ""
+}
+
+func (c *counters) Ended() bool { return c.a == c.most && c.b == c.most }
+
+func of(c counters) func() System { return func() System { x := c; return &x } }
+
+func TestEveryStateIsSeenOnce(t *testing.T) {
+	for _, workers := range []int{1, 4} {
+		r := Run(context.Background(), of(counters{most: 20}), Bounds{Workers: workers, Live: true}, nil)
+		assert.True(t, r.Complete, r.Stopped)
+		assert.Equal(t, 21*21, r.States)
+		assert.Equal(t, 2*20*21, r.Steps)
+		assert.Equal(t, 40, r.Depth)
+		assert.Equal(t, 1, r.Ends)
+		assert.Equal(t, map[string]int{"grow": 840}, r.Taken)
+		assert.Nil(t, r.Broken)
+		assert.Less(t, r.Clash, 1e-10)
+	}
+}
+
+func TestShortestTraceIsFound(t *testing.T) {
+	r := Run(context.Background(), of(counters{most: 20, bad: 5}), Bounds{}, nil)
+	require.NotNil(t, r.Broken)
+	assert.Equal(t, "never so", r.Broken.Property)
+	assert.Len(t, r.Broken.Steps, 6)
+	assert.False(t, r.Complete)
+	taken, property, how := Replay(&counters{most: 20, bad: 5}, *r.Broken)
+	assert.Equal(t, 6, taken)
+	assert.Equal(t, "never so", property)
+	assert.Equal(t, "5", how)
+	_, property, how = Replay(&counters{most: 2}, *r.Broken)
+	assert.Empty(t, property)
+	assert.Contains(t, how, "is not possible any more")
+}
+
+func TestStateWithoutAWayToTheEndIsFound(t *testing.T) {
+	r := Run(context.Background(), of(counters{most: 5, dead: 3}), Bounds{Live: true}, nil)
+	require.NotNil(t, r.Broken)
+	assert.Equal(t, Stuck, r.Broken.Property)
+	r = Run(context.Background(), of(counters{most: 5, dead: 3}), Bounds{Live: true, Depth: 2}, nil)
+	assert.Nil(t, r.Broken, "what lies at the edge may still reach it")
+	assert.Equal(t, 3, r.Edge)
+}
+
+func TestBoundsEndWithWhatWasCovered(t *testing.T) {
+	r := Run(context.Background(), of(counters{most: 1000}), Bounds{States: 500}, nil)
+	assert.Contains(t, r.Stopped, "which is the bound")
+	assert.False(t, r.Complete)
+	assert.GreaterOrEqual(t, r.States, 500)
+	r = Run(context.Background(), of(counters{most: 1000}), Bounds{Memory: 1}, nil)
+	assert.Contains(t, r.Stopped, "memory")
+	r = Run(context.Background(), of(counters{most: 1 << 30}), Bounds{For: 20 * time.Millisecond}, nil)
+	assert.Contains(t, r.Stopped, "before it was complete")
+}
+
+func TestWalk(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	taken := map[string]int{}
+	found := 0
+	for range 200 {
+		if tr := Walk(&counters{most: 9, bad: 2}, 30, rng.IntN, taken); tr != nil {
+			found++
+		}
+	}
+	assert.Positive(t, found)
+	assert.Positive(t, taken["grow"])
+}
+
+func TestHash(t *testing.T) {
+	type inner struct {
+		at float64
+		m  map[string]int
+	}
+	type outer struct {
+		p *inner
+		s []any
+		f func()
+	}
+	sum := func(v any, grain float64) uint64 {
+		h := Hash{Rules: &Rules{Grain: grain}}
+		h.Value(v)
+		return h.Sum()
+	}
+	a := outer{p: &inner{1.25, map[string]int{"a": 1, "b": 2}}, s: []any{1, "x"}}
+	b := outer{p: &inner{1.25, map[string]int{"b": 2, "a": 1}}, s: []any{1, "x"}, f: func() {}}
+	assert.Equal(t, sum(a, 0), sum(b, 0))
+	b.p.m["a"] = 3
+	assert.NotEqual(t, sum(a, 0), sum(b, 0))
+	assert.NotEqual(t, sum(&inner{at: 1}, 0), sum(&inner{at: 1.01}, 0))
+	assert.Equal(t, sum(&inner{at: 1}, 0.5), sum(&inner{at: 1.01}, 0.5))
+	assert.NotEqual(t, sum(outer{}, 0), sum(outer{p: &inner{}}, 0))
+}
--- /dev/null
+++ b/internal/explore/hash.go
@@ -0,0 +1,150 @@
+package explore
+
+import (
+	"encoding/binary"
+	"math"
+	"reflect"
+	"sort"
+	"sync"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Rules say how values are taken into a hash. They are made once for a system.
+type Rules struct {
+	Skip  func(owner reflect.Type, field string) bool // fields that decide nothing; nil: none are left out
+	Times func(owner reflect.Type, field string) bool // fields that hold times, which count from Hash.Zero
+	Grain float64                                     // floats are rounded to it; 0: they are taken as they are
+	plans sync.Map                                    // of struct types
+}
+
+// Hash gathers what decides a state's future. The zero value is empty.
+type Hash struct {
+	Rules *Rules
+	Zero  float64
+	raw   []byte
+	depth int
+}
+
+// plan is which fields of a struct count, and which of them are times.
+type plan struct {
+	fields []int
+	times  []bool
+}
+
+func (r *Rules) plan(t reflect.Type) plan {
+	if p, ok := r.plans.Load(t); ok {
+		return p.(plan)
+	}
+	var p plan
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if r.Skip != nil && r.Skip(t, f.Name) {
+			continue
+		}
+		p.fields = append(p.fields, i)
+		p.times = append(p.times, f.Type.Kind() == reflect.Float64 && r.Times != nil && r.Times(t, f.Name))
+	}
+	r.plans.Store(t, p)
+	return p
+}
+
+var plainRules = &Rules{}
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 16<<10); return &b }}
+
+// Sum is the fingerprint.
+func (h *Hash) Sum() uint64 { return xxh3.Hash(h.raw) }
+
+// Uint adds a number.
+func (h *Hash) Uint(v uint64) { h.raw = binary.LittleEndian.AppendUint64(h.raw, v) }
+
+// Text adds a text.
+func (h *Hash) Text(s string) {
+	h.Uint(uint64(len(s)))
+	h.raw = append(h.raw, s...)
+}
+
+// Float adds a float, rounded to the grain.
+func (h *Hash) Float(f float64) {
+	if h.Rules != nil && h.Rules.Grain > 0 && !math.IsInf(f, 0) {
+		f = math.Round(f / h.Rules.Grain)
+	}
+	if f == 0 {
+		f = 0 // not minus nought
+	}
+	h.Uint(math.Float64bits(f))
+}
+
+// Value adds all that a value holds, unexported fields and what pointers lead to included. Functions and
+// channels add nothing: what they do must be in the state elsewhere. Maps are added in the order of their
+// entries' hashes.
+func (h *Hash) Value(v any) {
+	if h.Rules == nil {
+		h.Rules = plainRules
+	}
+	h.value(reflect.ValueOf(v))
+}
+
+const deepest = 64
+
+func (h *Hash) value(v reflect.Value) {
+	if h.depth++; h.depth > deepest {
+		panic("explore: a state that leads back to itself")
+	}
+	defer func() { h.depth-- }()
+	switch v.Kind() {
+	case reflect.Bool:
+		if v.Bool() {
+			h.Uint(1)
+		} else {
+			h.Uint(0)
+		}
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		h.Uint(uint64(v.Int()))
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		h.Uint(v.Uint())
+	case reflect.Float32, reflect.Float64:
+		h.Float(v.Float())
+	case reflect.String:
+		h.Text(v.String())
+	case reflect.Pointer, reflect.Interface:
+		if v.IsNil() {
+			h.Uint(0)
+			return
+		}
+		h.Uint(1)
+		h.value(v.Elem())
+	case reflect.Slice, reflect.Array:
+		h.Uint(uint64(v.Len()))
+		for i := range v.Len() {
+			h.value(v.Index(i))
+		}
+	case reflect.Map:
+		h.entries(v)
+	case reflect.Struct:
+		p := h.Rules.plan(v.Type())
+		for i, n := range p.fields {
+			if f := v.Field(n); p.times[i] {
+				h.Float(f.Float() - h.Zero)
+			} else {
+				h.value(f)
+			}
+		}
+	}
+}
+
+func (h *Hash) entries(v reflect.Value) {
+	var sums []uint64
+	for it := v.MapRange(); it.Next(); {
+		e := Hash{Rules: h.Rules, Zero: h.Zero, depth: h.depth}
+		e.value(it.Key())
+		e.value(it.Value())
+		sums = append(sums, e.Sum())
+	}
+	sort.Slice(sums, func(i, j int) bool { return sums[i] < sums[j] })
+	h.Uint(uint64(len(sums)))
+	for _, s := range sums {
+		h.Uint(s)
+	}
+}
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -731,3 +731,6 @@
 		d.follow(now, dec)
 	}
 }
+
+// Waiting is the number of calls that are out.
+func (d *Driver) Waiting() int { return len(d.calls) }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"container/list"
 	"fmt"
 	"math"
@@ -511,7 +512,8 @@
 	cmd := &core.Command{Name: st.ID, Group: group, Set: set, Session: st.Session, Repeat: st.Repeat,
 		GiveUp: c.since + st.Wait - c.f.limits.Way, Text: c.f.blocks.New(), From: st.From, To: st.To, Front: c.f}
 	if st.WriteAt > 0 {
-		cmd.WriteAge = math.Max(0, c.f.core.Age(st.WriteAt))
+		// A write of this very moment, or by a clock that is ahead, must not look like none.
+		cmd.WriteAge = cmp.Or(c.f.core.Age(st.WriteAt), -math.SmallestNonzeroFloat64)
 	}
 	c.in.CopyTo(&cmd.Text, head, size-head)
 	s := &slot{cmd: cmd, out: c.f.blocks.New()}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -305,7 +305,7 @@
 		if c.Set >= 0 && c.Set < len(r.sets) {
 			c.need = math.Max(c.need, r.sets[c.Set].floor)
 		}
-		if r.site.Brought && c.WriteAge > 0 {
+		if r.site.Brought && c.WriteAge != 0 {
 			c.need = math.Max(c.need, c.Arrived-c.WriteAge)
 		}
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -666,3 +666,17 @@
 	g.left = 0.6
 	assert.Equal(t, 10.01, r.horizon(command(gAny), g))
 }
+
+func TestWriteOfThisMomentOrAheadIsNoneNotTold(t *testing.T) {
+	s := testSite()
+	s.Brought = true
+	for _, age := range []float64{-math.SmallestNonzeroFloat64, -0.25} {
+		c := command(gSession)
+		c.WriteAge = age
+		testRouter(t, s).Place(10, c)
+		assert.InDelta(t, 10-age, c.need, 1e-9)
+	}
+	c := command(gSession)
+	testRouter(t, s).Place(10, c)
+	assert.Less(t, c.need, 10.0, "0: none is known")
+}
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -102,7 +102,7 @@
 	Session  uint64
 	Arrived  float64
 	GiveUp   float64 // the client stops waiting
-	WriteAge float64 // seconds since the session's last write; 0: none known
+	WriteAge float64 // seconds since the session's last write, below 0 if it is ahead of this clock; 0: none known
 	Repeat   bool    // a client's further try, where clients say so
 
 	Legs   []Leg   // dispatches, in order
--- /dev/null
+++ b/internal/systems/command.go
@@ -0,0 +1,446 @@
+package systems
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/hand"
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/router"
+)
+
+var commandKind = Kind{Name: "command", Words: "commands in hand and the module, with members, a list, time and clients as the adversary",
+	Faults: map[string]Fault{
+		"answers-twice": {"a dispatch that ran out of time, and whose command was given up, answers its client all the same",
+			Bounds{Members: 2, Commands: []string{"order"}, Ticks: 5}},
+		"drain-overlooked": {"a draining notice that comes while a dispatch is out is not handed to the module",
+			Bounds{Members: 2, Commands: []string{"look", "look"}, Ticks: 1, Faults: 1}},
+		"long-memory": {"the module is told a memory span that is a step of time longer than it is",
+			Bounds{Members: 1, Commands: []string{"keyed"}, Ticks: 3, Faults: 1}},
+		"early-byte": {"a connection that broke after the last byte counts as one that broke before",
+			Bounds{Members: 2, Commands: []string{"order"}, Ticks: 1, Faults: 1}},
+		"spoilt-position": {"a report's position is taken to be two steps of time further than it is",
+			Bounds{Members: 2, Commands: []string{"order", "own"}, Ticks: 2}},
+		"held-back": {"what the module gives up is answered a step of time later",
+			Bounds{Members: 1, Commands: []string{"order"}, Ticks: 5}},
+		"no-age": {"the age of a write of this very moment is taken for none",
+			Bounds{Members: 2, Commands: []string{"order", "own"}, Ticks: 1, Faults: 1}},
+		"left-behind": {"a client that leaves is not told to the module, whose dispatches go on",
+			Bounds{Members: 1, Commands: []string{"keyed"}, Ticks: 2, Faults: 2}},
+		"two-out": {"a dispatch that was called off counts as ended before it has",
+			Bounds{Members: 2, Commands: []string{"look"}, Ticks: 3, Faults: 1}},
+		"far-keyed": {"a keyed command's repeat goes by a set that is not its own",
+			Bounds{Members: 2, Commands: []string{"keyed"}, Ticks: 1, Faults: 1}},
+	},
+	New: func(b Bounds, fault string) func() explore.System {
+		return func() explore.System { return newCommands(b, fault) }
+	}}
+
+const (
+	cmdTick    = 0.25 // seconds of a step of time
+	cmdTimeout = 1.0
+	cmdMemory  = 0.4
+	cmdGrace   = 0.0
+)
+
+type cmdGroup struct {
+	name string
+	g    router.CommandGroup
+	e    verdict.Effect
+}
+
+// Names of command groups in bounds, and what they are.
+var cmdGroups = []cmdGroup{
+	{"look", router.CommandGroup{Need: router.NeedAny, Effect: router.Replayable}, verdict.Replayable},
+	{"own", router.CommandGroup{Need: router.NeedSession, Effect: router.Replayable}, verdict.Replayable},
+	{"order", router.CommandGroup{Need: router.NeedWrite, Effect: router.Mutating}, verdict.Mutating},
+	{"keyed", router.CommandGroup{Need: router.NeedWrite, Effect: router.Keyed, Scope: router.InSet}, verdict.Keyed},
+}
+
+// commands is the system: one router, one set whose member 0 is the primary at first, and one session.
+type commands struct {
+	bounds  Bounds
+	fault   string
+	now     float64
+	ticks   int
+	faults  int
+	router  *router.Router
+	hand    *hand.Hand
+	next    float64
+	members []member
+	cmds    []*cmd
+	probes  map[int]bool // that the module waits for
+	check   verdict.Commands
+	token   float64  // position of the session's last write
+	giveups []int    // commands whose answer is held back by a fault
+	early   [][2]int // dispatches that a fault has ended before they have
+}
+
+type member struct {
+	verdict.Member
+	primary bool
+	told    router.NodeState
+}
+
+type cmd struct {
+	verdict.Command
+	name  string
+	group int
+	taken bool
+	out   []*leg
+}
+
+type leg struct {
+	number, node int
+	sent, until  float64
+	recalled     bool
+	ghost        bool // its command was told that it ran out of time
+}
+
+// groupOf finds a command group, or returns -1.
+func groupOf(name string) int {
+	return slices.IndexFunc(cmdGroups, func(g cmdGroup) bool { return g.name == name })
+}
+
+func newCommands(b Bounds, fault string) *commands {
+	c := &commands{bounds: b, fault: fault, probes: map[int]bool{}, check: verdict.Commands{Grace: cmdGrace}, token: math.Inf(-1)}
+	for range b.Members {
+		c.members = append(c.members, member{told: router.Ready, Member: verdict.Member{Covers: 10}})
+	}
+	c.members[0].primary = true
+	for i, name := range b.Commands {
+		c.cmds = append(c.cmds, &cmd{name: fmt.Sprint(name, " ", i), group: groupOf(name)})
+	}
+	c.now = 10
+	c.boot()
+	return c
+}
+
+// boot starts the router, for the first time or anew: it knows only the list that it had last.
+func (c *commands) boot() {
+	s := router.Site{Routers: 1, Whole: 1, Tick: 0.005, Brought: true, Reports: true, Cancel: true, Probes: true, Advice: true, MaxAdvice: 1,
+		Tries: 3, Dial: 0.05, ColdShare: 0.2, WarmIn: 0.1, Overload: 2, FallSpan: 1}
+	for _, x := range cmdGroups {
+		g := x.g
+		g.Target, g.Timeout, g.Benefit, g.Late, g.Memory = cmdTimeout/2, cmdTimeout, 1, 0.5, cmdMemory
+		if c.fault == "long-memory" {
+			g.Memory += cmdTick
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	c.router = router.New(s, 1)
+	c.hand = hand.New(c.router, c)
+	c.list(true)
+	c.settle()
+}
+
+func (c *commands) list(cached bool) {
+	var l []router.Listing
+	for i, m := range c.members {
+		l = append(l, router.Listing{Node: i, State: m.told, Started: math.Inf(-1), Primary: m.primary})
+	}
+	c.router.Listed(c.now, l, true, cached)
+}
+
+// settle lets the module go on by itself up to now.
+func (c *commands) settle() {
+	next, keep := c.hand.Settle(c.now)
+	for _, e := range c.early {
+		c.hand.Ended(c.now, uint32(e[0]), router.Outcome{Leg: e[1], Ending: router.Recalled, Position: -1})
+	}
+	c.early, c.next = nil, next
+	for _, n := range keep.Probe {
+		c.probes[n] = true
+	}
+}
+
+// Dispatch implements hand.Out.
+func (c *commands) Dispatch(id uint32, number, node int, until float64) {
+	x := c.cmds[id]
+	m := c.members[node].Member
+	if c.fault == "far-keyed" && number > 0 {
+		m.Set++
+	}
+	c.check.Sent(c.now, x.name, &x.Command, node, &m)
+	x.out = append(x.out, &leg{number: number, node: node, sent: c.now, until: until})
+}
+
+// Recall implements hand.Out.
+func (c *commands) Recall(id uint32, number int) {
+	for _, l := range c.cmds[id].out {
+		if l.number == number {
+			l.recalled = true
+			if c.fault == "two-out" {
+				c.early = append(c.early, [2]int{int(id), number})
+			}
+		}
+	}
+}
+
+// Throttle implements hand.Out.
+func (c *commands) Throttle(id uint32, _ float64) { c.Fail(id) }
+
+// Fail implements hand.Out.
+func (c *commands) Fail(id uint32) {
+	if c.fault == "held-back" {
+		c.giveups = append(c.giveups, int(id))
+		return
+	}
+	c.check.Answered(c.now, c.cmds[id].name, &c.cmds[id].Command)
+}
+
+// Steps implements explore.System.
+func (c *commands) Steps() (s []string) {
+	if c.Ended() && !c.sending() && len(c.giveups) == 0 {
+		return nil // nothing more can come of them
+	}
+	may := func(kind string) bool { return c.bounds.may(kind, c.faults) }
+	for i, x := range c.cmds {
+		if !x.taken {
+			s = append(s, fmt.Sprintf("take %d", i))
+		}
+		if x.taken && x.Open() && may("leave") {
+			s = append(s, fmt.Sprintf("leave %d", i))
+		}
+		for k, l := range x.out {
+			if l.ghost {
+				s = append(s, fmt.Sprintf("answered %d %d", i, k))
+				continue
+			}
+			if l.recalled {
+				s = append(s, fmt.Sprintf("recalled %d %d", i, k), fmt.Sprintf("answered %d %d", i, k)) // the race
+				continue
+			}
+			s = append(s, fmt.Sprintf("answered %d %d", i, k))
+			for _, e := range []string{"errored", "full", "unreached", "broken"} {
+				if may(e) {
+					s = append(s, fmt.Sprintf("%s %d %d", e, i, k))
+				}
+			}
+		}
+	}
+	for i, m := range c.members {
+		if c.probes[i] {
+			s = append(s, fmt.Sprintf("report %d", i))
+		}
+		if !m.primary && m.Covers < c.now {
+			s = append(s, fmt.Sprintf("apply %d", i))
+		}
+		if may("drain") && m.told == router.Ready {
+			s = append(s, fmt.Sprintf("drain %d", i))
+		}
+		if may("promote") && !m.primary && m.Covers >= c.token {
+			s = append(s, fmt.Sprintf("promote %d", i))
+		}
+	}
+	if may("restart") {
+		s = append(s, "restart")
+	}
+	if c.ticks < c.bounds.Ticks {
+		s = append(s, "tick")
+	}
+	return s
+}
+
+var endings = map[string]router.Ending{"answered": router.Answered, "errored": router.Errored, "full": router.Full,
+	"unreached": router.Unreached, "broken": router.Broken, "recalled": router.Recalled, "timed": router.TimedOut}
+
+// Take implements explore.System.
+func (c *commands) Take(step string) {
+	what := explore.Kind(step)
+	var n, k int
+	_, _ = fmt.Sscanf(step[len(what):], "%d %d", &n, &k)
+	switch what {
+	case "take":
+		c.take(n)
+	case "leave":
+		c.faults++
+		c.check.Ended(&c.cmds[n].Command)
+		if c.fault != "left-behind" {
+			c.hand.Left(c.now, uint32(n))
+		}
+	case "report":
+		delete(c.probes, n)
+		m := c.members[n]
+		at := m.Covers
+		if c.fault == "spoilt-position" {
+			at += 2 * cmdTick
+		}
+		c.router.Probed(c.now, n, true, 0, at, m.primary)
+	case "apply":
+		c.members[n].Covers = c.now
+	case "drain":
+		c.faults++
+		m := &c.members[n]
+		m.told, m.Away, m.AwaySince = router.Draining, true, c.now
+		if c.fault != "drain-overlooked" || !c.sending() {
+			c.list(false)
+		}
+	case "promote":
+		c.faults++
+		for i := range c.members {
+			c.members[i].primary = i == n
+		}
+		c.members[n].Covers = c.now
+		c.list(false)
+	case "restart":
+		c.faults++
+		for _, x := range c.cmds {
+			if x.taken {
+				c.check.Ended(&x.Command)
+				x.out = nil
+			}
+		}
+		c.probes, c.giveups = map[int]bool{}, nil
+		c.boot()
+	case "tick":
+		c.tick()
+	default:
+		c.end(n, k, what)
+	}
+	c.settle()
+}
+
+func (c *commands) sending() bool {
+	for _, x := range c.cmds {
+		if len(x.out) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *commands) take(n int) {
+	x := c.cmds[n]
+	x.taken = true
+	g := cmdGroups[x.group]
+	x.Effect, x.GiveUp, x.Memory, x.Needs = g.e, c.now+cmdTimeout, cmdMemory, math.Inf(-1)
+	in := router.Command{Group: x.group, Customer: -1, Session: 7, Arrived: c.now, GiveUp: x.GiveUp}
+	if g.g.Need == router.NeedSession && !math.IsInf(c.token, -1) {
+		x.Needs, in.WriteAge = c.token, cmp.Or(c.now-c.token, -math.SmallestNonzeroFloat64) // as the front makes it
+		if c.fault == "no-age" {
+			in.WriteAge = math.Max(0, c.now-c.token)
+		}
+	}
+	c.hand.Take(c.now, uint32(n), in)
+}
+
+// end has a dispatch end.
+func (c *commands) end(n, k int, what string) {
+	x := c.cmds[n]
+	l := x.out[k]
+	if l.ghost {
+		c.check.Answered(c.now, x.name, &x.Command)
+	}
+	if c.fault == "answers-twice" && what == "timed" && !l.ghost {
+		l.ghost = true
+		defer func() { x.out = append(x.out, l) }()
+	}
+	x.out = append(append([]*leg{}, x.out[:k]...), x.out[k+1:]...)
+	e := endings[what]
+	if what != "answered" && what != "recalled" && what != "timed" {
+		c.faults++
+	}
+	m := &c.members[l.node]
+	ran := e == router.Answered || e == router.Errored || e == router.Broken || e == router.TimedOut || e == router.Recalled
+	g := cmdGroups[x.group].g
+	missed := e == router.Answered && g.Need == router.NeedWrite && !m.primary // a replica turns it away
+	c.check.Back(&x.Command, l.sent, m.Set, ran && !missed)
+	o := router.Outcome{Leg: l.number, Ending: e, Took: c.now - l.sent, Over: e == router.Answered, Position: -1}
+	switch {
+	case missed:
+		o.Ending, o.Over = router.Missed, false
+	case e == router.Answered && g.Need == router.NeedWrite:
+		c.token, m.Covers = c.now, c.now
+		o.Position = c.now
+	case e == router.Answered:
+		o.Position = m.Covers
+		c.check.Served(x.name, &x.Command, l.node, &m.Member)
+	}
+	if c.fault == "early-byte" && e == router.Broken {
+		o.Ending = router.Unreached
+	}
+	was := x.Open()
+	c.hand.Ended(c.now, uint32(n), o)
+	if o.Ending == router.Answered && was {
+		c.check.Answered(c.now, x.name, &x.Command)
+	}
+}
+
+// tick lets a step of time pass. The module has its say at each moment that it asked for, and dispatches run out
+// of time at theirs.
+func (c *commands) tick() {
+	c.ticks++
+	held := c.giveups
+	c.giveups = nil
+	end := c.now + cmdTick
+	for c.now < end {
+		at := math.Min(end, math.Max(c.next, c.now+0.001))
+		for _, x := range c.cmds {
+			for _, l := range x.out {
+				if !l.ghost {
+					at = math.Min(at, math.Max(l.until, c.now))
+				}
+			}
+		}
+		c.now = at
+		for i, x := range c.cmds {
+			for k := 0; k < len(x.out); k++ {
+				if x.out[k].until <= c.now && !x.out[k].ghost {
+					c.end(i, k, "timed")
+					k--
+				}
+			}
+		}
+		c.settle()
+		for i := range c.members {
+			if c.members[i].primary {
+				c.members[i].Covers = c.now
+			}
+		}
+	}
+	for _, n := range held {
+		c.check.Answered(c.now, c.cmds[n].name, &c.cmds[n].Command)
+	}
+	for _, x := range c.cmds {
+		if x.taken {
+			c.check.Overdue(c.now, x.name, &x.Command)
+		}
+	}
+}
+
+var commandRules = &explore.Rules{Grain: 1e-9, Skip: func(t reflect.Type, f string) bool {
+	return t.Name() == "Hand" && (f == "out" || f == "seq") || t.Name() == "due" && f == "seq"
+}}
+
+// Fingerprint implements explore.System. Nothing of the module is left out, chance included; what the world
+// looks like follows from what is here.
+func (c *commands) Fingerprint(h *explore.Hash) {
+	h.Rules = commandRules
+	h.Float(c.now)
+	h.Uint(uint64(c.faults))
+	h.Value(c.hand)
+	h.Value(c.members)
+	h.Value(c.cmds)
+	h.Value(c.probes)
+	h.Value(c.check)
+	h.Float(c.token)
+	h.Value(c.giveups)
+}
+
+// Broken implements explore.System.
+func (c *commands) Broken() (string, string) { return c.check.Broken() }
+
+// Ended implements explore.System: every command has had its end.
+func (c *commands) Ended() bool {
+	for _, x := range c.cmds {
+		if !x.taken || x.Open() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/systems/rollout.go
@@ -0,0 +1,451 @@
+package systems
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/fleet/claim"
+	"stoatdale.example/stoatdale/internal/fleet/form"
+	"stoatdale.example/stoatdale/internal/fleet/plan"
+	"stoatdale.example/stoatdale/internal/fleet/roll"
+	"stoatdale.example/stoatdale/internal/fleet/tend"
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+)
+
+var rolloutKind = Kind{Name: "rollout", Words: "operators' tools, agents of one router each, claims and the network between them",
+	Faults: map[string]Fault{
+		"epoch-twice": {"an agent grants an epoch that it has granted to another", Bounds{Agents: 2, Tools: 2, Ticks: 1}},
+		"forgetful":   {"an agent that starts again has forgotten what it promised", Bounds{Agents: 1, Tools: 2, Ticks: 1, Faults: 1}},
+		"floorless":   {"the plan goes by a floor that is one too low", Bounds{Agents: 2, Tools: 1, Ticks: 3, Faults: 1, Only: []string{"crash"}}},
+		"unkept":      {"an agent says that it keeps a record, and does not", Bounds{Agents: 2, Tools: 1, Ticks: 2}},
+		"twin":        {"an agent that starts again does not look for its router", Bounds{Agents: 1, Tools: 1, Ticks: 1, Faults: 1}},
+		"two-begin":   {"the plan does not look whether another instance is in a step", Bounds{Agents: 2, Tools: 1, Ticks: 2}},
+	},
+	New: func(b Bounds, fault string) func() explore.System {
+		return func() explore.System { return newRollout(b, fault) }
+	}}
+
+const (
+	rollTick = 1.0 // seconds of a step of time
+	rollTerm = 2.5 // that a claim runs: it runs out after three steps without a sign
+)
+
+// rollout is the system. What tools look at comes at once; what changes anything is delivered, lost, answered
+// into the void or late, as the adversary picks. Each act of an agent is a step, and it may die before it.
+type rollout struct {
+	bounds Bounds
+	fault  string
+	fleet  *plan.Fleet
+	names  []string
+	limits tend.Limits
+	now    float64
+	ticks  int
+	faults int
+	agents []*rollAgent
+	tools  []*rollTool
+	late   []rollCall // calls that are still on their way after their tool has given them up
+	check  *verdict.Fleet
+}
+
+type rollAgent struct {
+	desk   tend.Desk
+	claims claim.Durable
+	record tend.Record
+	alive  bool
+	todo   []tend.Effect // acts that are still to be carried out
+	runs   bool
+	mark   uint64
+	open   bool
+	lives  int
+}
+
+type rollTool struct {
+	driver *roll.Driver
+	holder string
+	out    []rollCall
+	ended  bool
+}
+
+type rollCall struct {
+	Tool int
+	ID   uint64
+	At   int
+	Call form.Call
+}
+
+func newRollout(b Bounds, fault string) *rollout {
+	r := &rollout{bounds: b, fault: fault, check: verdict.NewFleet(b.Agents - 1), limits: tend.Limits{Ready: 100, Settle: 0.5,
+		Probe: 1e9, Count: 1e9, Window: 1, Restart: 0.5, Longest: 1, Calm: 1e9, Crashes: 9, Misses: 9, Patient: 100}}
+	r.fleet = &plan.Fleet{Halls: []int{0}, Floor: b.Agents - 1, Times: plan.Times{Soak: 0, Fresh: 1.5, Contact: 100, Step: 100}}
+	if fault == "floorless" {
+		r.fleet.Floor--
+	}
+	for i := range b.Agents {
+		r.fleet.Instances = append(r.fleet.Instances, plan.Instance{Agent: i})
+		r.names = append(r.names, fmt.Sprint("n", i))
+		a := &rollAgent{runs: true, mark: 1, record: tend.Record{Up: true, Revision: "old", Mark: 1}}
+		r.agents = append(r.agents, a)
+		r.birth(i)
+		for len(a.todo) > 0 {
+			r.act(i)
+		}
+	}
+	for t := range b.Tools {
+		r.tools = append(r.tools, &rollTool{})
+		r.start(t)
+	}
+	r.turn()
+	return r
+}
+
+// start has a tool begin: the first a rollout, others another or the one there is.
+func (r *rollout) start(t int) {
+	x := r.tools[t]
+	x.holder = fmt.Sprint("t", t)
+	task := roll.Task{Verb: roll.Begin, Takeover: t > 0, Rollout: form.Rollout{
+		Rollout: plan.Rollout{ID: x.holder, Revision: fmt.Sprint("new", t)}}}
+	if t > 0 {
+		task.Verb = roll.Resume
+	}
+	x.driver = roll.New(r.fleet, r.names, len(r.agents), "", x.holder, roll.Times{Period: rollTick, Giving: 50}, task,
+		func() float64 { return 0.5 })
+	x.out, x.ended = nil, false
+}
+
+// turn lets every tool go on as far as it can without anything being delivered that changes an agent.
+func (r *rollout) turn() {
+	for t, x := range r.tools {
+		for again := true; again && x.driver != nil; {
+			again = false
+			sends, _ := x.driver.Tick(r.now)
+			x.driver.Events()
+			for _, s := range sends {
+				c := rollCall{Tool: t, ID: s.ID, At: s.Agent, Call: s.Call}
+				if s.Call.Verb != form.Look {
+					x.out = append(x.out, c)
+					continue
+				}
+				r.deliver(c, true)
+				again = true
+			}
+			if o, over := x.driver.Over(); over {
+				x.driver, x.out = nil, nil
+				x.ended = o.Kind == roll.Ended && o.Rollout.State.Over()
+			}
+		}
+	}
+}
+
+// deliver has a call arrive; its answer too, if heard.
+func (r *rollout) deliver(c rollCall, heard bool) {
+	a, d := r.agents[c.At], r.tools[c.Tool].driver
+	if !a.alive {
+		if heard && d != nil {
+			d.Failed(r.now, c.ID, "gone")
+		}
+		return
+	}
+	reply := r.answer(c)
+	if heard && d != nil {
+		d.Heard(r.now, c.ID, reply)
+	} else if d != nil {
+		d.Failed(r.now, c.ID, "lost")
+	}
+}
+
+func (r *rollout) answer(c rollCall) form.Reply {
+	a := r.agents[c.At]
+	switch {
+	case r.fault == "unkept" && c.Call.Verb == form.Keep:
+		return form.Reply{Standing: a.desk.Claims.Standing(r.now)}
+	case r.fault == "epoch-twice" && c.Call.Verb == form.Bid && c.Call.Bid.Epoch == a.desk.Claims.Epoch:
+		a.desk.Claims.Epoch--
+		a.desk.Claims.Held = false
+	}
+	if c.Call.Verb == form.Act {
+		var kept int
+		for _, b := range r.agents {
+			if s := b.claims.Record.Stamp; s.Epoch >= c.Call.Epoch {
+				kept++
+			}
+		}
+		r.check.Sent(fmt.Sprint(c.Call.Step.Rollout, "/", c.Call.Step.Number), kept >= claim.Majority(len(r.agents)))
+	}
+	reply, saves := a.desk.Handle(r.now, c.Call)
+	if r.fault == "two-begin" {
+		for i := range reply.Instances {
+			if x := &reply.Instances[i]; x.Last.Number != 0 && x.End == plan.Open {
+				x.End, x.Life, x.Revision = plan.Done, plan.Ready, x.Last.Revision
+			}
+		}
+	}
+	if reply.Refusal == claim.Granted && (c.Call.Verb == form.Act || c.Call.Verb == form.Keep) {
+		r.check.Acted(c.Call.Epoch, c.Call.Holder)
+	}
+	if saves.Claims {
+		a.claims = a.desk.Claims.Durable
+	}
+	if saves.Instance >= 0 {
+		r.stored(c.At)
+	}
+	a.todo = append(a.todo, saves.Do...)
+	return reply
+}
+
+// stored keeps an instance's record, and sees steps begin and end.
+func (r *rollout) stored(i int) {
+	a := r.agents[i]
+	a.record = a.desk.Instances[0].Record
+	open := a.record.Step.Number != 0 && a.record.End == plan.Open
+	switch {
+	case open && !a.open:
+		r.check.Begun(i, fmt.Sprint(a.record.Step.Rollout, "/", a.record.Step.Number))
+	case !open && a.open:
+		r.check.Ended(i)
+	}
+	a.open = open
+}
+
+func (r *rollout) birth(i int) {
+	a := r.agents[i]
+	a.alive, a.todo = true, nil
+	a.lives++
+	if r.fault == "forgetful" {
+		a.claims = claim.Durable{}
+	}
+	x, out := tend.NewInstance(a.record, &r.limits)
+	a.desk = tend.Desk{Agent: fmt.Sprint("a", i), Names: []string{r.names[i]}, Claims: claim.Restore(a.claims, rollTerm, r.now),
+		Instances: []tend.Instance{x}}
+	a.todo = append(a.todo, out.Do...)
+}
+
+// act carries out an agent's next act, and hands its outcome in.
+func (r *rollout) act(i int) {
+	a := r.agents[i]
+	x := &a.desk.Instances[0]
+	e := a.todo[0]
+	a.todo = a.todo[1:]
+	var out tend.Out
+	switch e.Act {
+	case tend.Find:
+		out = x.Found(r.now, a.runs && a.mark == e.Mark && (r.fault != "twin" || a.lives == 1))
+	case tend.Prepare:
+		out = x.Prepared(r.now, false, 100, "")
+	case tend.Place:
+		out = x.Placed(r.now, "")
+	case tend.Start:
+		running := 0
+		if a.runs {
+			running = 1
+		}
+		r.check.Started(i, running)
+		a.runs, a.mark = true, e.Mark
+		out = x.Started(r.now, e.Mark, "")
+	case tend.Probe:
+		out = x.Probed(r.now, a.runs)
+	case tend.Term:
+		others := 0
+		for j, b := range r.agents {
+			if j != i && b.runs {
+				others++
+			}
+		}
+		if a.runs {
+			r.check.Taken(i, others)
+		}
+		a.runs = false
+		out = x.Exited(r.now, "ended")
+	}
+	if out.Store {
+		r.stored(i)
+	}
+	a.todo = append(a.todo, out.Do...)
+}
+
+// Steps implements explore.System.
+func (r *rollout) Steps() (s []string) {
+	may := func(kind string) bool { return r.bounds.may(kind, r.faults) }
+	for i, a := range r.agents {
+		if a.alive && len(a.todo) > 0 {
+			s = append(s, fmt.Sprintf("act %d", i))
+		}
+		if a.alive && may("die") {
+			s = append(s, fmt.Sprintf("die agent %d", i))
+		}
+		if !a.alive {
+			s = append(s, fmt.Sprintf("back agent %d", i))
+		}
+		if a.alive && a.runs && may("crash") && r.calm() {
+			s = append(s, fmt.Sprintf("crash %d", i))
+		}
+	}
+	for t, x := range r.tools {
+		if x.driver == nil {
+			continue
+		}
+		if may("die") {
+			s = append(s, fmt.Sprintf("die tool %d", t))
+		}
+		for k := range x.out {
+			s = append(s, fmt.Sprintf("deliver %d %d", t, k))
+			for _, kind := range []string{"lose", "deafen", "delay"} {
+				if may(kind) {
+					s = append(s, fmt.Sprintf("%s %d %d", kind, t, k))
+				}
+			}
+		}
+	}
+	for k := range r.late {
+		s = append(s, fmt.Sprintf("arrive %d", k))
+	}
+	if r.ticks < r.bounds.Ticks {
+		s = append(s, "tick")
+	}
+	return s
+}
+
+// calm tells whether no step is open or on its way: a router that ends by itself between the plan's last look
+// and the step may take a hall under its floor, and nobody can help that.
+func (r *rollout) calm() bool {
+	for _, a := range r.agents {
+		if a.open || len(a.todo) > 0 {
+			return false
+		}
+	}
+	for _, t := range r.tools {
+		for _, c := range t.out {
+			if c.Call.Verb == form.Act {
+				return false
+			}
+		}
+	}
+	return len(r.late) == 0 && r.ticks < r.bounds.Ticks
+}
+
+// tick lets a step of time pass.
+func (r *rollout) tick() {
+	r.ticks++
+	r.now += rollTick
+	for i, a := range r.agents {
+		if x := &a.desk.Instances[0]; a.alive && r.now >= x.Wake() {
+			out := x.Tick(r.now)
+			if out.Store {
+				r.stored(i)
+			}
+			a.todo = append(a.todo, out.Do...)
+		}
+	}
+}
+
+// Take implements explore.System.
+func (r *rollout) Take(step string) {
+	var n, k int
+	what := explore.Kind(step)
+	switch {
+	case strings.HasPrefix(step, "die agent"), strings.HasPrefix(step, "back agent"), strings.HasPrefix(step, "die tool"):
+		_, _ = fmt.Sscanf(step[strings.LastIndexByte(step, ' ')+1:], "%d", &n)
+	default:
+		_, _ = fmt.Sscanf(step[len(what):], "%d %d", &n, &k)
+	}
+	switch what {
+	case "act":
+		r.act(n)
+	case "die":
+		r.faults++
+		if strings.HasPrefix(step, "die tool") {
+			r.tools[n].driver, r.tools[n].out = nil, nil
+		} else {
+			r.agents[n].alive = false
+		}
+	case "back":
+		r.birth(n)
+	case "tick":
+		r.tick()
+	case "crash": // and it is seen before anything else happens
+		r.faults++
+		a := r.agents[n]
+		a.runs = false
+		if out := a.desk.Instances[0].Exited(r.now, "by itself"); out.Store {
+			r.stored(n)
+		}
+		r.ticks++
+		r.now += rollTick
+	case "arrive":
+		c := r.late[n]
+		r.late = append(append([]rollCall{}, r.late[:n]...), r.late[n+1:]...)
+		if r.agents[c.At].alive {
+			r.answer(c)
+		}
+	default:
+		x := r.tools[n]
+		c := x.out[k]
+		x.out = append(append([]rollCall{}, x.out[:k]...), x.out[k+1:]...)
+		switch what {
+		case "deliver":
+			r.deliver(c, true)
+		case "deafen":
+			r.faults++
+			r.deliver(c, false)
+		default: // lost, or late
+			r.faults++
+			x.driver.Failed(r.now, c.ID, "lost")
+			if what == "delay" {
+				r.late = append(r.late, c)
+			}
+		}
+	}
+	r.turn()
+}
+
+// times are the fields that hold times, by their names; they count from now.
+var times = map[string]bool{"Seen": true, "since": true, "until": true, "now": true, "next": true, "again": true, "actAt": true,
+	"majorAt": true, "at": true, "probeAt": true, "countAt": true, "readyAt": true, "sent": true, "At": true}
+
+// skipped are fields that decide nothing here: numbers of calls only tell them apart, readings of counters and
+// of a claim's age are not gone by, and what is the same in all states.
+var skipped = map[string]bool{"rollCall.ID": true, "Driver.last": true, "Driver.calls": true, "Driver.events": true,
+	"Driver.told": true, "Driver.fleet": true, "Driver.chance": true, "Driver.times": true, "agent.looking": true, "agent.saying": true,
+	"agent.standing": true, "Planner.Fleet": true, "Instance.limits": true, "Instance.past": true, "Instance.readyAt": true,
+	"Instance.probeAt": true, "Instance.countAt": true, "Standing.Since": true, "Standing.Left": true, "Sight.ReadyFor": true}
+
+var rolloutRules = &explore.Rules{Grain: 1e-6, Times: func(_ reflect.Type, f string) bool { return times[f] },
+	Skip: func(t reflect.Type, f string) bool { return skipped[t.Name()+"."+f] }}
+
+// Fingerprint implements explore.System. Left out are numbers of calls, which only tell them apart, and readings
+// that nothing here goes by.
+func (r *rollout) Fingerprint(h *explore.Hash) {
+	h.Rules, h.Zero = rolloutRules, r.now
+	h.Uint(uint64(r.bounds.Faults - r.faults))
+	h.Uint(uint64(r.bounds.Ticks - r.ticks))
+	for _, a := range r.agents {
+		h.Value(a)
+	}
+	for _, t := range r.tools {
+		h.Value(t.out)
+		h.Value(t.ended)
+		if t.driver != nil {
+			h.Value(t.driver)
+			h.Uint(uint64(t.driver.Waiting()))
+		} else {
+			h.Uint(math.MaxUint64)
+		}
+	}
+	h.Value(r.late)
+	h.Value(r.check)
+}
+
+// Broken implements explore.System.
+func (r *rollout) Broken() (string, string) { return r.check.Broken() }
+
+// Ended implements explore.System: a tool has seen the rollout to its end.
+func (r *rollout) Ended() bool {
+	for _, t := range r.tools {
+		if t.ended {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/systems/run.go
@@ -0,0 +1,129 @@
+package systems
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"time"
+
+	"stoatdale.example/stoatdale/internal/explore"
+)
+
+// Trace is a way to a broken property, with all that is needed to take it again.
+type Trace struct {
+	System string `json:"system"`
+	Fault  string `json:"fault,omitempty"` // that was injected
+	Bounds Bounds `json:"bounds"`
+	explore.Trace
+}
+
+// Save writes a trace to a file.
+func (t Trace) Save(path string) error {
+	raw, err := json.MarshalIndent(t, "", "  ")
+	if err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	if err := os.WriteFile(path, append(raw, '\n'), 0o600); err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	return nil
+}
+
+// LoadTrace reads one.
+func LoadTrace(path string) (Trace, error) {
+	var t Trace
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return t, fmt.Errorf("trace: %w", err)
+	}
+	if err := json.Unmarshal(raw, &t); err != nil {
+		return t, fmt.Errorf("trace: %s: %w", path, err)
+	}
+	k, err := Find(t.System)
+	if err != nil {
+		return t, fmt.Errorf("trace: %s: %w", path, err)
+	}
+	if _, known := k.Faults[t.Fault]; t.Fault != "" && !known {
+		return t, fmt.Errorf("trace: %s: system %s has no fault %q", path, t.System, t.Fault)
+	}
+	return t, nil
+}
+
+// Replay takes a trace's steps on the code as it is now: how many could be taken, and what broke.
+func (t Trace) Replay() (taken int, property, how string) {
+	k, err := Find(t.System)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	return explore.Replay(k.New(t.Bounds, t.Fault)(), t.Trace)
+}
+
+// Found is what became of one injected bug.
+type Found struct {
+	System   string  `json:"system"`
+	Fault    string  `json:"fault"`
+	Words    string  `json:"words"`
+	Found    bool    `json:"found"`
+	Property string  `json:"property,omitempty"`
+	Length   int     `json:"trace_length,omitempty"`
+	States   int     `json:"states"`
+	Seconds  float64 `json:"seconds"`
+	Clean    bool    `json:"clean"` // without it the same bounds break nothing
+	Trace    *Trace  `json:"-"`
+}
+
+// Inject explores a system with a bug in it, and without it in the same bounds.
+func Inject(ctx context.Context, k Kind, fault string, workers int) Found {
+	f := k.Faults[fault]
+	b := f.Bounds
+	b.System = k.Name
+	r := explore.Run(ctx, k.New(b, fault), b.Explore(workers), nil)
+	out := Found{System: k.Name, Fault: fault, Words: f.Words, States: r.States, Seconds: r.Seconds}
+	if r.Broken != nil {
+		out.Found, out.Property, out.Length = true, r.Broken.Property, len(r.Broken.Steps)
+		out.Trace = &Trace{System: k.Name, Fault: fault, Bounds: b, Trace: *r.Broken}
+	}
+	clean := explore.Run(ctx, k.New(b, ""), b.Explore(workers), nil)
+	out.Clean = clean.Complete && clean.Broken == nil
+	return out
+}
+
+// Names of a system's faults, in order.
+func (k Kind) Names() []string {
+	var out []string
+	for n := range k.Faults {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Walked is what came of ways at random.
+type Walked struct {
+	System string         `json:"system"`
+	Seed   uint64         `json:"seed"`
+	Walks  int            `json:"walks"`
+	Steps  int            `json:"steps"`
+	Taken  map[string]int `json:"taken"`
+	Broken *Trace         `json:"broken,omitempty"`
+}
+
+// Walk takes ways at random, for bounds that are too large to be explored.
+func Walk(ctx context.Context, k Kind, b Bounds, fault string, seed uint64, walks, steps int, most time.Duration) Walked {
+	w := Walked{System: k.Name, Seed: seed, Taken: map[string]int{}}
+	rng := rand.New(rand.NewPCG(seed, 0))
+	began := time.Now()
+	for ; w.Walks < walks && ctx.Err() == nil && (most == 0 || time.Since(began) < most); w.Walks++ {
+		if t := explore.Walk(k.New(b, fault)(), steps, rng.IntN, w.Taken); t != nil {
+			w.Broken = &Trace{System: k.Name, Fault: fault, Bounds: b, Trace: *t}
+			break
+		}
+	}
+	for _, n := range w.Taken {
+		w.Steps += n
+	}
+	return w
+}
--- /dev/null
+++ b/internal/systems/systems.go
@@ -0,0 +1,128 @@
+// Package systems holds what is explored: the code that serves, with everything round it as an adversary that
+// picks what happens next. Bounds say how much of it there is.
+package systems
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"sort"
+	"time"
+
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/sexp"
+)
+
+// Kind of system that can be explored.
+type Kind struct {
+	Name   string
+	Words  string
+	Faults map[string]Fault // bugs that can be injected
+	New    func(b Bounds, fault string) func() explore.System
+}
+
+// Fault is a bug that can be injected, with bounds in which it is found. No release of the router holds
+// anything of it: it is in the adversary, at the seam to the code that serves.
+type Fault struct {
+	Words  string
+	Bounds Bounds
+}
+
+// Kinds are all of them.
+func Kinds() []Kind { return []Kind{commandKind, rolloutKind} }
+
+// Find finds one by its name.
+func Find(name string) (Kind, error) {
+	var names []string
+	for _, k := range Kinds() {
+		if k.Name == name {
+			return k, nil
+		}
+		names = append(names, k.Name)
+	}
+	sort.Strings(names)
+	return Kind{}, fmt.Errorf("there is no system %q; there are %v", name, names)
+}
+
+// Bounds of one system's exploration. What a system does not have it passes over.
+type Bounds struct {
+	System   string       `sexp:",name"`
+	Depth    int          `sexp:"depth"`
+	States   int          `sexp:"states"`
+	Memory   int          `sexp:"memory-mb"`
+	For      sexp.Seconds `sexp:"for"`
+	Agents   int          `sexp:"agents"`
+	Tools    int          `sexp:"tools"`
+	Members  int          `sexp:"members"`
+	Commands []string     `sexp:"commands"` // their groups
+	Ticks    int          `sexp:"ticks"`    // steps of time
+	Faults   int          `sexp:"faults"`   // of the adversary's, in all
+	Only     []string     `sexp:"only"`     // kinds of faults; none: all
+	Live     bool         `sexp:"live"`
+	Place    sexp.Place   `sexp:",place"`
+}
+
+// File is a file of bounds, one entry a system.
+type File struct {
+	Bounds []Bounds `sexp:"bounds"`
+}
+
+// Load reads a file of bounds and returns those of one system, in the file's order.
+func Load(path, system string) ([]Bounds, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("bounds: %w", err)
+	}
+	nodes, err := sexp.Read(path, raw)
+	if err != nil {
+		return nil, err
+	}
+	var f File
+	if err := sexp.Decode(path, nodes, &f); err != nil {
+		return nil, err
+	}
+	var out []Bounds
+	for _, b := range f.Bounds {
+		if err := b.check(); err != nil {
+			return nil, err
+		}
+		if b.System == system {
+			out = append(out, b)
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("%s: there are no bounds for %s", path, system)
+	}
+	return out, nil
+}
+
+func (b *Bounds) check() error {
+	if _, err := Find(b.System); err != nil {
+		return &sexp.Fault{Place: b.Place, Says: err.Error()}
+	}
+	for _, c := range b.Commands {
+		if groupOf(c) < 0 {
+			return &sexp.Fault{Place: b.Place, Says: fmt.Sprintf("commands: there is no command group %s", c)}
+		}
+	}
+	for _, x := range []struct {
+		key         string
+		value, most int
+	}{{"agents", b.Agents, 9}, {"tools", b.Tools, 4}, {"members", b.Members, 6}, {"ticks", b.Ticks, 1000}, {"faults", b.Faults, 100}} {
+		if x.value < 0 || x.value > x.most {
+			return &sexp.Fault{Place: b.Place, Says: fmt.Sprintf("%s is %d, and must be within 0 and %d", x.key, x.value, x.most)}
+		}
+	}
+	return nil
+}
+
+// may tells whether the adversary may put in a fault of a kind after so many.
+func (b *Bounds) may(kind string, so int) bool {
+	return so < b.Faults && (len(b.Only) == 0 || slices.Contains(b.Only, kind))
+}
+
+// Explore are the explorer's bounds.
+func (b *Bounds) Explore(workers int) explore.Bounds {
+	return explore.Bounds{Depth: b.Depth, States: b.States, Memory: uint64(b.Memory) << 20,
+		For: time.Duration(float64(b.For) * float64(time.Second)), Workers: workers, Live: b.Live}
+}
--- /dev/null
+++ b/internal/systems/systems_test.go
@@ -0,0 +1,140 @@
+package systems
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+)
+
+func TestEveryInjectedBugIsFoundAndNothingElse(t *testing.T) {
+	broken := map[string]bool{}
+	for _, k := range Kinds() {
+		for _, name := range k.Names() {
+			f := Inject(context.Background(), k, name, 0)
+			assert.True(t, f.Found, "%s %s", k.Name, name)
+			assert.True(t, f.Clean, "%s %s", k.Name, name)
+			broken[f.Property] = true
+			if f.Trace == nil {
+				continue
+			}
+			taken, property, _ := f.Trace.Replay()
+			assert.Equal(t, f.Property, property, "%s %s", k.Name, name)
+			assert.Equal(t, f.Length, taken)
+			f.Trace.Fault = ""
+			_, property, _ = f.Trace.Replay()
+			assert.Empty(t, property, "the same steps break nothing without it: %s %s", k.Name, name)
+		}
+	}
+	for _, p := range []string{verdict.OneInstance, verdict.OneHolder, verdict.NoFloor, verdict.OneProcess, verdict.Resolved,
+		verdict.OneAnswer, verdict.InTime, verdict.NotAfter, verdict.NoRepeat, verdict.InMemory, verdict.OneOut, verdict.NoDraining,
+		verdict.NotStale} {
+		assert.True(t, broken[p], "no injected bug breaks it: %s", p)
+	}
+}
+
+// TestFoldingIsHarmless compares verdicts with times folded and with them as they are, in small bounds.
+func TestFoldingIsHarmless(t *testing.T) {
+	b := Bounds{System: "rollout", Agents: 1, Tools: 2, Ticks: 1, Faults: 1}
+	folded := rolloutRules
+	defer func() { rolloutRules = folded }()
+	for _, fault := range []string{"", "forgetful", "twin"} {
+		rolloutRules = folded
+		with := explore.Run(context.Background(), rolloutKind.New(b, fault), b.Explore(0), nil)
+		rolloutRules = &explore.Rules{}
+		without := explore.Run(context.Background(), rolloutKind.New(b, fault), b.Explore(0), nil)
+		if fault == "" { // a search that finds something ends wherever its cores are
+			assert.GreaterOrEqual(t, without.States, with.States)
+		}
+		assert.Equal(t, with.Broken == nil, without.Broken == nil, fault)
+		if with.Broken != nil {
+			assert.Equal(t, with.Broken.Property, without.Broken.Property, fault)
+			assert.Len(t, without.Broken.Steps, len(with.Broken.Steps), fault)
+		}
+	}
+}
+
+// TestWaysAtRandomBreakNothing takes the same systems further than they can be explored, and shrinks what breaks.
+func TestWaysAtRandomBreakNothing(t *testing.T) {
+	bounds := map[string]Bounds{"command": {Members: 3, Commands: []string{"order", "own", "keyed", "look"}, Ticks: 8, Faults: 4},
+		"rollout": {Agents: 3, Tools: 2, Ticks: 8, Faults: 3}}
+	for _, k := range Kinds() {
+		rapid.Check(t, func(t *rapid.T) {
+			s := k.New(bounds[k.Name], "")()
+			for range rapid.IntRange(1, 120).Draw(t, "steps") {
+				steps := s.Steps()
+				if len(steps) == 0 {
+					return
+				}
+				s.Take(rapid.SampledFrom(steps).Draw(t, "step"))
+				property, how := s.Broken()
+				require.Empty(t, property, how)
+			}
+		})
+	}
+}
+
+func TestWalk(t *testing.T) {
+	b := Bounds{Members: 2, Commands: []string{"order", "keyed"}, Ticks: 5, Faults: 2}
+	w := Walk(context.Background(), commandKind, b, "", 1, 200, 60, 0)
+	assert.Nil(t, w.Broken)
+	assert.Equal(t, 200, w.Walks)
+	for _, kind := range []string{"take", "answered", "broken", "errored", "full", "unreached", "leave", "drain", "promote", "restart", "report", "apply", "tick"} {
+		assert.Positive(t, w.Taken[kind], "never taken: %s", kind)
+	}
+	w = Walk(context.Background(), commandKind, b, "early-byte", 1, 2000, 60, 0)
+	require.NotNil(t, w.Broken)
+	assert.Equal(t, verdict.NoRepeat, w.Broken.Property)
+}
+
+func TestBoundsAndTracesAreFiles(t *testing.T) {
+	for _, file := range []string{"ci", "large"} {
+		for _, k := range Kinds() {
+			b, err := Load("../../deploy/bounds/"+file+".sexp", k.Name)
+			require.NoError(t, err)
+			assert.NotEmpty(t, b)
+		}
+	}
+	dir := t.TempDir()
+	path := filepath.Join(dir, "f")
+	for text, says := range map[string]string{
+		"(bounds moon)":                     `f:1:1: there is no system "moon"; there are [command rollout]`,
+		"(bounds command (commands dance))": "f:1:1: commands: there is no command group dance",
+		"(bounds command (memers 2))":       "did you mean members?",
+		"(bounds rollout (agents 99))":      "agents is 99, and must be within 0 and 9",
+		"(bounds rollout (agents 2))":       "there are no bounds for command",
+	} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := Load(path, "command")
+		assert.ErrorContains(t, err, says)
+	}
+	f := Inject(context.Background(), commandKind, "early-byte", 1)
+	require.NoError(t, f.Trace.Save(path))
+	again, err := LoadTrace(path)
+	require.NoError(t, err)
+	assert.Equal(t, *f.Trace, again)
+	require.NoError(t, os.WriteFile(path, []byte(`{"system":"command","fault":"x"}`), 0o600))
+	_, err = LoadTrace(path)
+	assert.ErrorContains(t, err, `has no fault "x"`)
+}
+
+// TestReadAfterARestartInTheMomentOfItsWrite is a trace that exploration found: the age of a write of this very
+// moment was 0, which stands for none, and a router that had just started read from a replica behind it.
+func TestReadAfterARestartInTheMomentOfItsWrite(t *testing.T) {
+	trace := Trace{System: "command", Bounds: Bounds{Members: 2, Commands: []string{"order", "own"}, Ticks: 3, Faults: 1},
+		Trace: explore.Trace{Steps: []string{"tick", "take 0", "answered 0 0", "restart", "take 1"}}}
+	taken, property, how := trace.Replay()
+	assert.Equal(t, 5, taken)
+	assert.Empty(t, property, how)
+	trace.Fault = "no-age"
+	trace.Steps = append(trace.Steps, "answered 1 0")
+	_, property, _ = trace.Replay()
+	assert.Equal(t, verdict.NotStale, property)
+}
