Connections to members and the list's watch are explored, above a seam that replaces sockets

Need: states of connections were never taken through every order. Change: loop.Wire is what connections need of a loop; member and discovery take one, so the same code runs on epoll and in the explorer. Two systems, nine injected bugs, eight properties. Measured: all found, clean in their bounds; tests of member and discovery as before.

--- a/deploy/bounds/ci.sexp
+++ b/deploy/bounds/ci.sexp
@@ -6,3 +6,6 @@
 (bounds rollout (agents 2) (tools 1) (ticks 2) (faults 1))
 (bounds rollout (agents 1) (tools 2) (ticks 2) (faults 1))
 (bounds rollout (agents 2) (tools 2) (ticks 1) (faults 0))
+(bounds member (commands look look) (ticks 2) (faults 2))
+(bounds member (commands look look look) (ticks 1) (faults 1))
+(bounds watch (ticks 4) (faults 3))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,7 +26,7 @@
 // Watch is one watch of the list. Where the list comes by itself it goes on for good; where it must be
 // asked for, Ask begins it and a failure ends it.
 type Watch struct {
-	loop   *loop.Loop
+	loop   loop.Wire
 	limits *site.Limits
 	at     netip.AddrPort
 	sink   Sink
@@ -44,7 +44,7 @@
 }
 
 // New returns a watch that has not begun. With onAsk each call must be asked for.
-func New(l *loop.Loop, limits *site.Limits, at netip.AddrPort, onAsk bool, blocks *buffer.Pool, sink Sink,
+func New(l loop.Wire, limits *site.Limits, at netip.AddrPort, onAsk bool, blocks *buffer.Pool, sink Sink,
 	log zerolog.Logger) *Watch {
 	w := &Watch{loop: l, limits: limits, at: at, sink: sink, log: log, onAsk: onAsk, fd: -1,
 		in: blocks.New(), out: blocks.New(), generation: -1, pause: limits.Pause}
@@ -57,10 +57,10 @@
 	if w.fd >= 0 || w.ended {
 		return
 	}
-	fd, err := loop.Dial(w.at)
+	fd, err := w.loop.Dial(w.at)
 	if err == nil {
 		if err = w.loop.Add(fd, w, true, true); err != nil {
-			loop.Discard(fd)
+			w.loop.Discard(fd)
 		}
 	}
 	if err != nil {
@@ -121,7 +121,7 @@
 // Ready implements loop.Handler.
 func (w *Watch) Ready(readable, writable bool) {
 	if !w.up {
-		if err := loop.Dialled(w.fd); err != nil {
+		if err := w.loop.Dialled(w.fd); err != nil {
 			w.fail(err)
 			return
 		}
@@ -150,7 +150,7 @@
 }
 
 func (w *Watch) flush() {
-	if err := loop.Write(w.fd, &w.out); err != nil {
+	if err := w.loop.Write(w.fd, &w.out); err != nil {
 		w.fail(err)
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 func (w *Watch) read() {
-	_, err := loop.Read(w.fd, &w.in, w.limits.Read)
+	_, err := w.loop.Read(w.fd, &w.in, w.limits.Read)
 	whole, bad := w.reply.Take(&w.in, w.limits.Page, w.limits.Line)
 	whole = whole || err != nil && bad == nil && w.reply.End()
 	switch {
--- /dev/null
+++ b/internal/loop/wire.go
@@ -0,0 +1,48 @@
+package loop
+
+import (
+	"net/netip"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+)
+
+// Wire is what connections need of a loop: its clock, its timers and its sockets. A Loop is one; whatever else
+// is one can drive the same connections without a socket.
+type Wire interface {
+	Now() float64
+	Open() int // descriptors that are watched
+	Set(t *Timer, at float64)
+	Unset(t *Timer)
+	Dial(at netip.AddrPort) (fd int, err error)
+	Dialled(fd int) error
+	Discard(fd int) // closes one that is not watched
+	Add(fd int, h Handler, read, write bool) error
+	Want(fd int, read, write bool)
+	Close(fd int)
+	Quiet(fd int) bool
+	Read(fd int, into *buffer.Chain, most int) (got int, err error)
+	Write(fd int, from *buffer.Chain) error
+}
+
+var _ Wire = (*Loop)(nil)
+
+// Dial implements Wire by the function of that name, as the others do.
+func (*Loop) Dial(at netip.AddrPort) (int, error) { return Dial(at) }
+
+// Dialled implements Wire.
+func (*Loop) Dialled(fd int) error { return Dialled(fd) }
+
+// Discard implements Wire.
+func (*Loop) Discard(fd int) { Discard(fd) }
+
+// Quiet implements Wire.
+func (*Loop) Quiet(fd int) bool { return Quiet(fd) }
+
+// Read implements Wire.
+func (*Loop) Read(fd int, into *buffer.Chain, most int) (int, error) { return Read(fd, into, most) }
+
+// Write implements Wire.
+func (*Loop) Write(fd int, from *buffer.Chain) error { return Write(fd, from) }
+
+// Fire has the timer's call made, for a Wire that is no Loop.
+func (t *Timer) Fire() { t.fire() }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -36,7 +36,7 @@
 
 // Members is all connections to members. Nodes are the module's small indices.
 type Members struct {
-	loop   *loop.Loop
+	loop   loop.Wire
 	limits *site.Limits
 	blocks *buffer.Pool
 	sink   Sink
@@ -51,7 +51,7 @@
 }
 
 // New returns Members without any.
-func New(l *loop.Loop, limits *site.Limits, blocks *buffer.Pool, sink Sink, c *count.Counters) *Members {
+func New(l loop.Wire, limits *site.Limits, blocks *buffer.Pool, sink Sink, c *count.Counters) *Members {
 	return &Members{loop: l, limits: limits, blocks: blocks, sink: sink, count: c}
 }
 
@@ -164,7 +164,7 @@
 		if now-c.since < m.limits.Rest {
 			continue
 		}
-		if loop.Quiet(c.fd) {
+		if c.m.loop.Quiet(c.fd) {
 			h.idle = append(h.idle[:i], h.idle[i+1:]...)
 			return c
 		}
@@ -179,7 +179,7 @@
 		return nil
 	}
 	m.count.Dialled++
-	fd, err := loop.Dial(at)
+	fd, err := m.loop.Dial(at)
 	if err != nil {
 		m.count.DialsFailed++
 		return nil
@@ -188,7 +188,7 @@
 		answer: pg.Answer{Row: m.blocks.New()}}
 	c.timer = loop.NewTimer(c.due)
 	if err := m.loop.Add(fd, c, true, true); err != nil {
-		loop.Discard(fd)
+		m.loop.Discard(fd)
 		return nil
 	}
 	m.open++
@@ -247,7 +247,7 @@
 
 // flush writes on. Whether a dispatch may have run goes by its last byte.
 func (c *conn) flush() {
-	if err := loop.Write(c.fd, &c.out); err != nil {
+	if err := c.m.loop.Write(c.fd, &c.out); err != nil {
 		c.end(router.Broken)
 		return
 	}
@@ -260,7 +260,7 @@
 // Ready implements loop.Handler.
 func (c *conn) Ready(readable, writable bool) {
 	if c.state == dialling {
-		if err := loop.Dialled(c.fd); err != nil {
+		if err := c.m.loop.Dialled(c.fd); err != nil {
 			c.end(router.Unreached)
 			return
 		}
@@ -280,7 +280,7 @@
 }
 
 func (c *conn) read() {
-	_, err := loop.Read(c.fd, &c.in, c.m.limits.Read)
+	_, err := c.m.loop.Read(c.fd, &c.in, c.m.limits.Read)
 	done, bad := c.answer.Take(&c.in, c.m.limits.Answer, c.m.limits.Note)
 	switch {
 	case bad != nil:
--- a/internal/systems/command.go
+++ b/internal/systems/command.go
@@ -71,7 +71,7 @@
 	router  *router.Router
 	hand    *hand.Hand
 	next    float64
-	members []member
+	members []host
 	cmds    []*cmd
 	probes  map[int]bool // that the module waits for
 	check   verdict.Commands
@@ -80,7 +80,7 @@
 	early   [][2]int // dispatches that a fault has ended before they have
 }
 
-type member struct {
+type host struct {
 	verdict.Member
 	primary bool
 	told    router.NodeState
@@ -109,7 +109,7 @@
 func newCommands(b Bounds, fault string) *commands {
 	c := &commands{bounds: b, fault: fault, probes: map[int]bool{}, check: verdict.Commands{Grace: cmdGrace}, token: math.Inf(-1)}
 	for range b.Members {
-		c.members = append(c.members, member{told: router.Ready, Member: verdict.Member{Covers: 10}})
+		c.members = append(c.members, host{told: router.Ready, Member: verdict.Member{Covers: 10}})
 	}
 	c.members[0].primary = true
 	for i, name := range b.Commands {
--- /dev/null
+++ b/internal/systems/member.go
@@ -0,0 +1,437 @@
+package systems
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/member"
+	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+var memberKind = Kind{Name: "member", Words: "connections to one member, with the member, the network below them and time as the adversary",
+	Faults: map[string]Fault{
+		"previous-reply": {"what a connection brings between two commands is not noticed: the next takes it for its own",
+			Bounds{Commands: []string{"look", "look"}, Faults: 1, Ticks: 1}},
+		"early-write": {"the last byte of a statement counts as written, and is not",
+			Bounds{Commands: []string{"look"}, Faults: 1}},
+		"late-write": {"the last byte of a statement counts as unwritten, and is written",
+			Bounds{Commands: []string{"look"}, Faults: 1}},
+		"twice": {"a dispatch that was called off ends once more as its connection does",
+			Bounds{Commands: []string{"look"}, Faults: 1}},
+		"kept": {"the last connection is not closed once nothing is under way",
+			Bounds{Commands: []string{"look"}, Faults: 1}},
+	},
+	New: func(b Bounds, fault string) func() explore.System {
+		return func() explore.System { return newMember(b, fault) }
+	}}
+
+// members is the system: dispatches to one member over the connections of package member.
+type members struct {
+	bounds Bounds
+	fault  string
+	wire   *wire
+	m      *member.Members
+	blocks *buffer.Pool
+	sends  []*sending
+	faults int
+	ticks  int
+	check  verdict.Dispatches
+	order  []int // descriptors, in the order in which they came
+	closed bool
+	pg     map[int]*peer
+}
+
+// sending is one command's dispatch.
+type sending struct {
+	d     *member.Dispatch
+	text  buffer.Chain
+	state int // 0: not yet sent, 1: out, 2: ended
+}
+
+// peer is the member's end of a connection: what it has made of what was written.
+type peer struct {
+	greeted bool
+	read    int // bytes of sent that were understood
+	asked   []string
+	half    []byte // of an answer, still to come
+	last    []byte
+}
+
+const memberStatement = "SELECT doc FROM items WHERE id = '%c' /* id=%d,c=look,d=900,cluster=2 */\x00"
+
+func newMember(b Bounds, fault string) *members {
+	s := &members{bounds: b, fault: fault, wire: newWire(), blocks: buffer.NewPool(512, 1<<16), pg: map[int]*peer{}}
+	limits := &site.Limits{Read: 1 << 16, Answer: 1 << 16, Note: 1 << 10, Members: 4, Shared: 9, Dial: 1, Probe: 1, Idle: 3, Rest: 0}
+	s.wire.deafQuiet, s.wire.earlyByte = fault == "previous-reply", fault == "early-write"
+	s.m = member.New(s.wire, limits, s.blocks, memberSink{s}, &count.Counters{})
+	s.m.Place(0, netip.MustParseAddrPort("127.0.0.1:5432"), false)
+	for i := range b.Commands {
+		x := &sending{text: s.blocks.New()}
+		text := fmt.Sprintf(memberStatement, 'a'+i, i+1)
+		x.text.Write([]byte(text))
+		from := strings.Index(text, "d=900") + 2
+		x.d = &member.Dispatch{ID: uint32(i), Text: &x.text, From: from, To: from + 3}
+		s.sends = append(s.sends, x)
+	}
+	return s
+}
+
+// memberSink is told how dispatches end.
+type memberSink struct{ *members }
+
+// Ended implements member.Sink.
+func (s memberSink) Ended(d *member.Dispatch, e router.Ending, _ float64, a *pg.Answer) {
+	x := s.sends[d.ID]
+	x.state = 2
+	never := e == router.Unreached || e == router.Moot
+	if e != router.Full { // which says itself that it never ran
+		s.check.Ended(int(d.ID), never, s.written(int(d.ID)))
+	}
+	if s.fault == "twice" && e == router.Recalled {
+		s.check.Ended(int(d.ID), false, s.written(int(d.ID)))
+		s.check.Ended(int(d.ID), false, s.written(int(d.ID)))
+	}
+	if a == nil {
+		return
+	}
+	if e == router.Answered {
+		var row []byte
+		for a.Row.Len() > 0 {
+			first := a.Row.First()
+			row = append(row, first...)
+			a.Row.Skip(len(first))
+		}
+		value := "?"
+		if i := bytes.Index(row, []byte("value ")); i >= 0 && i+7 <= len(row) {
+			value = string(row[i+6 : i+7])
+		}
+		s.check.Answered(int(d.ID), value, string(rune('a'+int(d.ID))))
+	}
+	a.Row.Free()
+}
+
+// Probed implements member.Sink.
+func (memberSink) Probed(int, bool, float64, string) {}
+
+// written tells whether a command's statement was written whole on any connection, ever.
+func (s *members) written(id int) bool {
+	mark := []byte(fmt.Sprintf("id=%d,", id+1))
+	whole := false
+	for _, x := range s.seen() {
+		if i := bytes.Index(x, mark); i >= 0 && bytes.IndexByte(x[i:], 0) >= 0 {
+			whole = true
+		}
+	}
+	if s.fault == "late-write" {
+		return false
+	}
+	return whole
+}
+
+// seen is what was written on each connection, those that were closed included.
+func (s *members) seen() [][]byte {
+	var out [][]byte
+	for _, fd := range s.order {
+		out = append(out, s.pg[fd].last)
+	}
+	return out
+}
+
+// look has the member take in what was written.
+func (s *members) look() {
+	for _, fd := range s.wire.fds() {
+		k := s.wire.socks[fd]
+		p := s.pg[fd]
+		if p == nil {
+			p = &peer{}
+			s.pg[fd] = p
+			s.order = append(s.order, fd)
+		}
+		p.last = append([]byte{}, k.sent...)
+		for {
+			rest := k.sent[p.read:]
+			if !p.greeted {
+				if len(rest) < 4 || len(rest) < int(binary.BigEndian.Uint32(rest)) {
+					break
+				}
+				p.read += int(binary.BigEndian.Uint32(rest))
+				p.greeted = true
+				p.asked = append(p.asked, "")
+				continue
+			}
+			if len(rest) < 5 || len(rest) < 1+int(binary.BigEndian.Uint32(rest[1:])) {
+				break
+			}
+			n := 1 + int(binary.BigEndian.Uint32(rest[1:]))
+			p.asked = append(p.asked, string(rest[5:n-1]))
+			p.read += n
+		}
+	}
+}
+
+// answer is what the member says to a question; "" is the start-up.
+func answerTo(question string) []byte {
+	if question == "" {
+		return pg.Welcome(nil)
+	}
+	v := "value " + strings.SplitN(question, "'", 3)[1]
+	b := pg.Message(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
+	b = pg.Message(b, 'D', binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(v))), []byte(v))
+	b = pg.Message(b, 'C', []byte("SELECT 1\x00"))
+	return pg.Ready(pg.Status(b, "recovery", "on"))
+}
+
+// Steps implements explore.System.
+func (s *members) Steps() (out []string) {
+	may := func(kind string) bool { return s.bounds.may(kind, s.faults) }
+	for i, x := range s.sends {
+		if x.state == 0 {
+			out = append(out, fmt.Sprintf("send %d", i))
+		}
+		if x.state == 1 && may("recall") {
+			out = append(out, fmt.Sprintf("recall %d", i))
+		}
+	}
+	for _, fd := range s.wire.fds() {
+		k, p := s.wire.socks[fd], s.pg[fd]
+		at := s.at(fd)
+		if !k.up {
+			out = append(out, fmt.Sprintf("up %d", at))
+			if may("refuse") {
+				out = append(out, fmt.Sprintf("refuse %d", at))
+			}
+			continue
+		}
+		if len(k.in) > 0 || k.ended {
+			out = append(out, fmt.Sprintf("see %d", at))
+		}
+		if k.wantWrite && k.room == 0 {
+			out = append(out, fmt.Sprintf("room %d", at), fmt.Sprintf("most %d", at))
+		}
+		if k.ended {
+			continue
+		}
+		if len(p.half) > 0 {
+			out = append(out, fmt.Sprintf("rest %d", at))
+		} else if len(p.asked) > 0 {
+			out = append(out, fmt.Sprintf("answer %d", at))
+			for _, kind := range []string{"half", "full", "spoil", "double"} {
+				if may(kind) {
+					out = append(out, fmt.Sprintf("%s %d", kind, at))
+				}
+			}
+		} else if p.greeted && may("echo") && s.idle() { // the protocol cannot tell a copy that comes later
+			out = append(out, fmt.Sprintf("echo %d", at))
+		}
+		if may("end") {
+			out = append(out, fmt.Sprintf("end %d", at))
+		}
+	}
+	if s.ticks < s.bounds.Ticks {
+		if _, ok := s.wire.next(); ok {
+			out = append(out, "tick")
+		}
+	}
+	if s.done() && !s.closed {
+		out = append(out, "close")
+	}
+	return out
+}
+
+// idle tells whether no dispatch is out.
+func (s *members) idle() bool {
+	for _, x := range s.sends {
+		if x.state == 1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *members) done() bool {
+	for _, x := range s.sends {
+		if x.state != 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// at is a connection's place in the order in which they came: names of steps must not depend on numbers of
+// descriptors that were used before.
+func (s *members) at(fd int) int {
+	for i, x := range s.order {
+		if x == fd {
+			return i
+		}
+	}
+	return -1
+}
+
+// Take implements explore.System.
+func (s *members) Take(step string) {
+	var n int
+	what := explore.Kind(step)
+	_, _ = fmt.Sscanf(step[len(what):], "%d", &n)
+	fd := 0
+	if n < len(s.order) {
+		fd = s.order[n]
+	}
+	k := s.wire.socks[fd]
+	switch what {
+	case "send":
+		x := s.sends[n]
+		x.state, x.d.Until = 1, s.wire.now+0.9
+		s.m.Send(x.d)
+	case "recall":
+		s.faults++
+		s.m.Recall(s.sends[n].d)
+	case "up":
+		k.up, k.room = true, 60 // more than a start-up packet, less than a statement
+		k.handler.Ready(false, true)
+	case "refuse":
+		s.faults++
+		k.refused = true
+		k.handler.Ready(false, true)
+	case "see":
+		k.handler.Ready(true, false)
+	case "room":
+		k.room = 1 << 16
+		k.handler.Ready(false, true)
+	case "most": // all that is left but one byte
+		k.room = 1 << 16
+		if left := s.unwritten(fd); left > 1 {
+			k.room = left - 1
+		}
+		k.handler.Ready(false, true)
+		if kk := s.wire.socks[fd]; kk != nil {
+			kk.room = 0
+		}
+	case "tick":
+		s.ticks++
+		s.wire.fire(func(a, b *loop.Timer) bool { return s.of(a) < s.of(b) })
+	case "close":
+		s.closed = true
+		s.m.Close()
+		for _, x := range s.sends {
+			x.text.Free()
+		}
+		left := len(s.wire.socks)
+		if s.fault == "kept" {
+			left++
+		}
+		s.check.Left(left, len(s.wire.timers), s.blocks.Out())
+	default:
+		s.member(what, fd, k)
+	}
+	s.look()
+}
+
+// unwritten is how much of a statement a connection has still to write; a statement's length is known.
+func (s *members) unwritten(fd int) int {
+	k := s.wire.socks[fd]
+	return 5 + len(fmt.Sprintf(memberStatement, 'a', 1)) - len(k.sent[s.pg[fd].read:])
+}
+
+// member is what the member itself does.
+func (s *members) member(what string, fd int, k *sock) {
+	p := s.pg[fd]
+	if what != "answer" && what != "rest" {
+		s.faults++
+	}
+	question := ""
+	if len(p.asked) > 0 {
+		question = p.asked[0]
+	}
+	switch what {
+	case "rest":
+		k.in = append(k.in, p.half...)
+		p.half = nil
+		return
+	case "echo":
+		k.in = append(k.in, answerTo(fmt.Sprintf(memberStatement, 'z', 9))...)
+		return
+	case "end":
+		k.ended = true
+		return
+	}
+	a := answerTo(question)
+	p.asked = p.asked[1:]
+	switch what {
+	case "answer":
+		k.in = append(k.in, a...)
+	case "double":
+		k.in = append(append(k.in, a...), a...)
+	case "half":
+		k.in = append(k.in, a[:len(a)/2]...)
+		p.half = a[len(a)/2:]
+	case "full":
+		k.in = append(k.in, pg.Ready(pg.Error(nil, false, pg.CodeFull, "no room", ""))...)
+	case "spoil":
+		k.in = append(k.in, "D\xff\xff\xff\xff"...)
+	}
+}
+
+var memberRules = &explore.Rules{Grain: 1e-9, Skip: func(t reflect.Type, f string) bool {
+	switch t.Name() + "." + f {
+	case "conn.m", "Members.loop", "Members.limits", "Members.blocks", "Members.sink", "Members.count", "Chain.pool", "Dispatch.conn",
+		"sock.handler", "wire.timers", "members.bounds", "members.fault", "members.blocks", "conn.timer":
+		return true
+	}
+	return false
+}}
+
+// Fingerprint implements explore.System. A connection stands for its handler; timers for their times.
+func (s *members) Fingerprint(h *explore.Hash) {
+	h.Rules = memberRules
+	h.Value(s)
+	for _, fd := range s.order {
+		if k := s.wire.socks[fd]; k != nil {
+			h.Value(k.handler)
+			at, set := s.wire.timers[s.timer(fd)]
+			h.Value(set)
+			h.Float(at)
+		}
+	}
+	for _, x := range s.sends {
+		h.Uint(uint64(x.state))
+	}
+}
+
+// timer is a connection's, or nil; it is found by where it lies, since the connection keeps it to itself.
+func (s *members) timer(fd int) *loop.Timer {
+	at := reflect.ValueOf(s.wire.socks[fd].handler).Elem().FieldByName("timer").Pointer()
+	for t := range s.wire.timers {
+		if reflect.ValueOf(t).Pointer() == at {
+			return t
+		}
+	}
+	return nil
+}
+
+// of is the place of the connection that has a timer.
+func (s *members) of(t *loop.Timer) int {
+	for i, fd := range s.order {
+		if s.wire.socks[fd] != nil && s.timer(fd) == t {
+			return i
+		}
+	}
+	return -1
+}
+
+// Broken implements explore.System.
+func (s *members) Broken() (string, string) { return s.check.Broken() }
+
+// Ended implements explore.System.
+func (s *members) Ended() bool { return s.closed }
--- a/internal/systems/systems.go
+++ b/internal/systems/systems.go
@@ -29,7 +29,7 @@
 }
 
 // Kinds are all of them.
-func Kinds() []Kind { return []Kind{commandKind, rolloutKind} }
+func Kinds() []Kind { return []Kind{commandKind, memberKind, watchKind, rolloutKind} }
 
 // Find finds one by its name.
 func Find(name string) (Kind, error) {
--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -35,7 +35,8 @@
 	}
 	for _, p := range []string{verdict.OneInstance, verdict.OneHolder, verdict.NoFloor, verdict.OneProcess, verdict.Resolved,
 		verdict.OneAnswer, verdict.InTime, verdict.NotAfter, verdict.NoRepeat, verdict.InMemory, verdict.OneOut, verdict.NoDraining,
-		verdict.NotStale} {
+		verdict.NotStale, verdict.EndsOnce, verdict.LastByte, verdict.OwnAnswer, verdict.NoneIsLeft, verdict.ListFollows, verdict.ListFrom,
+		verdict.WholeAsked, verdict.OneCall} {
 		assert.True(t, broken[p], "no injected bug breaks it: %s", p)
 	}
 }
@@ -64,7 +65,8 @@
 // TestWaysAtRandomBreakNothing takes the same systems further than they can be explored, and shrinks what breaks.
 func TestWaysAtRandomBreakNothing(t *testing.T) {
 	bounds := map[string]Bounds{"command": {Members: 3, Commands: []string{"order", "own", "keyed", "look"}, Ticks: 8, Faults: 4},
-		"rollout": {Agents: 3, Tools: 2, Ticks: 8, Faults: 3}}
+		"rollout": {Agents: 3, Tools: 2, Ticks: 8, Faults: 3}, "member": {Commands: []string{"look", "look", "look", "look"}, Ticks: 6, Faults: 5},
+		"watch": {Ticks: 9, Faults: 9}}
 	for _, k := range Kinds() {
 		rapid.Check(t, func(t *rapid.T) {
 			s := k.New(bounds[k.Name], "")()
@@ -105,7 +107,7 @@
 	dir := t.TempDir()
 	path := filepath.Join(dir, "f")
 	for text, says := range map[string]string{
-		"(bounds moon)":                     `f:1:1: there is no system "moon"; there are [command rollout]`,
+		"(bounds moon)":                     `f:1:1: there is no system "moon"; there are [command member rollout watch]`,
 		"(bounds command (commands dance))": "f:1:1: commands: there is no command group dance",
 		"(bounds command (memers 2))":       "did you mean members?",
 		"(bounds rollout (agents 99))":      "agents is 99, and must be within 0 and 9",
--- /dev/null
+++ b/internal/systems/wire.go
@@ -0,0 +1,146 @@
+package systems
+
+import (
+	"errors"
+	"net/netip"
+	"sort"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/loop"
+)
+
+// wire is a loop.Wire without sockets: what arrives, and when it is seen, is the adversary's to pick.
+type wire struct {
+	now    float64
+	last   int
+	socks  map[int]*sock
+	timers map[*loop.Timer]float64
+	// Faults at this seam.
+	deafQuiet bool // a connection always looks quiet
+	keepOpen  bool // what is closed stays open
+	earlyByte bool // the last byte of a write counts as written, and is not
+}
+
+// sock is one connection, as the wire sees it.
+type sock struct {
+	handler   loop.Handler
+	up        bool
+	refused   bool
+	ended     bool   // by the other side
+	in        []byte // arrived, and not yet read
+	sent      []byte // written
+	room      int    // that may still be written
+	wantWrite bool
+}
+
+var (
+	errRefused = errors.New("connection refused")
+	errGone    = errors.New("connection reset")
+)
+
+func newWire() *wire { return &wire{socks: map[int]*sock{}, timers: map[*loop.Timer]float64{}} }
+
+func (w *wire) Now() float64                     { return w.now }
+func (w *wire) Open() int                        { return len(w.socks) }
+func (w *wire) Set(t *loop.Timer, at float64)    { w.timers[t] = at }
+func (w *wire) Unset(t *loop.Timer)              { delete(w.timers, t) }
+func (w *wire) Dial(netip.AddrPort) (int, error) { w.last++; return w.last, nil }
+func (w *wire) Discard(int)                      {}
+func (w *wire) Close(fd int) {
+	if k := w.socks[fd]; w.keepOpen && k != nil {
+		k.handler = nil
+		return
+	}
+	delete(w.socks, fd)
+}
+func (w *wire) Quiet(fd int) bool { s := w.socks[fd]; return w.deafQuiet || !s.ended && len(s.in) == 0 }
+func (w *wire) Want(fd int, _, write bool) {
+	if s := w.socks[fd]; s != nil {
+		s.wantWrite = write
+	}
+}
+
+func (w *wire) Add(fd int, h loop.Handler, _, write bool) error {
+	w.socks[fd] = &sock{handler: h, wantWrite: write}
+	return nil
+}
+
+func (w *wire) Dialled(fd int) error {
+	if w.socks[fd].refused {
+		return errRefused
+	}
+	return nil
+}
+
+func (w *wire) Read(fd int, into *buffer.Chain, most int) (int, error) {
+	s := w.socks[fd]
+	n := min(most, len(s.in))
+	into.Write(s.in[:n])
+	s.in = s.in[n:]
+	if len(s.in) == 0 && s.ended {
+		return n, loop.ErrEnded
+	}
+	return n, nil
+}
+
+func (w *wire) Write(fd int, from *buffer.Chain) error {
+	s := w.socks[fd]
+	if s.ended {
+		return errGone
+	}
+	for from.Len() > 0 && s.room > 0 {
+		first := from.First()
+		n := min(len(first), s.room)
+		s.sent = append(s.sent, first[:n]...)
+		s.room -= n
+		from.Skip(n)
+	}
+	if w.earlyByte && from.Len() == 1 { // it is taken off, and goes nowhere
+		from.Skip(1)
+	}
+	return nil
+}
+
+// fds are the open descriptors, in order.
+func (w *wire) fds() []int {
+	var out []int
+	for fd := range w.socks {
+		out = append(out, fd)
+	}
+	sort.Ints(out)
+	return out
+}
+
+// next is the time of the first timer, or false.
+func (w *wire) next() (float64, bool) {
+	first, ok := 0.0, false
+	for _, at := range w.timers {
+		if !ok || at < first {
+			first, ok = at, true
+		}
+	}
+	return first, ok
+}
+
+// fire lets time pass to the first timer, and fires all that are due then. Those of one moment fire in the
+// order in which their connections came, which the caller gives.
+func (w *wire) fire(order func(a, b *loop.Timer) bool) {
+	at, ok := w.next()
+	if !ok {
+		return
+	}
+	w.now = max(w.now, at)
+	var due []*loop.Timer
+	for t, at := range w.timers {
+		if at <= w.now {
+			due = append(due, t)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return order(due[i], due[j]) })
+	for _, t := range due {
+		if at, set := w.timers[t]; set && at <= w.now {
+			delete(w.timers, t)
+			t.Fire()
+		}
+	}
+}
