Client connections are explored: the front on a wire without sockets, the core as adversary

Need: the fifth system; front mixed states and sockets. Change: front takes a loop.ListenWire and a small interface of the core; system client with five injected bugs, two properties.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,13 +21,23 @@
 	"stoatdale.example/stoatdale/internal/site"
 )
 
+// Core is what a front needs of the core.
+type Core interface {
+	Set(cluster int) (int, bool)
+	Open(name string) bool
+	Take(c *core.Command)
+	Left(c *core.Command)
+	MakeRoom() bool
+	Age(unix float64) float64
+}
+
 // Front is a listener and its clients.
 type Front struct {
 	At     netip.AddrPort // where it listens
-	loop   *loop.Loop
+	loop   loop.ListenWire
 	limits *site.Limits
 	blocks *buffer.Pool
-	core   *core.Core
+	core   Core
 	count  *count.Counters
 	log    zerolog.Logger
 	groups map[string]int
@@ -45,7 +55,7 @@
 }
 
 // Listen opens a front on one address.
-func Listen(at netip.AddrPort, l *loop.Loop, limits *site.Limits, blocks *buffer.Pool, o *core.Core,
+func Listen(at netip.AddrPort, l loop.ListenWire, limits *site.Limits, blocks *buffer.Pool, o Core,
 	told *site.Told, c *count.Counters, log zerolog.Logger) (*Front, error) {
 	f := &Front{loop: l, limits: limits, blocks: blocks, core: o, count: c, log: log, groups: map[string]int{},
 		told: told, conns: map[*conn]bool{}}
@@ -54,10 +64,10 @@
 	}
 	f.resume = loop.NewTimer(func() { f.listen(true) })
 	var err error
-	if f.listener, err = loop.Listen(at, limits.Backlog); err != nil {
+	if f.listener, err = l.Listen(at, limits.Backlog); err != nil {
 		return nil, err
 	}
-	if f.At, err = loop.Bound(f.listener); err != nil {
+	if f.At, err = l.Bound(f.listener); err != nil {
 		return nil, err
 	}
 	return f, l.Add(f.listener, f, true, false)
@@ -83,14 +93,14 @@
 func (f *Front) accept(most int) {
 	for range most {
 		many, all := len(f.conns) >= f.limits.Clients, f.loop.Open() >= f.limits.Shared
-		if (many || all) && !loop.Waiting(f.listener) {
+		if (many || all) && !f.loop.Waiting(f.listener) {
 			return
 		}
 		if (many || all && !f.core.MakeRoom()) && !f.shed() {
 			f.rest()
 			return
 		}
-		fd, ok, err := loop.Accept(f.listener)
+		fd, ok, err := f.loop.Accept(f.listener)
 		if err != nil {
 			f.log.Warn().Err(err).Msg("a client could not be taken in")
 			f.shed()
@@ -103,7 +113,7 @@
 		c := &conn{f: f, fd: fd, in: f.blocks.New(), out: f.blocks.New(), born: f.loop.Now()}
 		c.timer = loop.NewTimer(c.due)
 		if err := f.loop.Add(fd, c, true, false); err != nil {
-			loop.Discard(fd)
+			f.loop.Discard(fd)
 			return
 		}
 		f.count.Accepted++
@@ -134,7 +144,7 @@
 		if f.loop.Now()-c.queuedAt < f.limits.Mute {
 			return false
 		}
-		if loop.Quiet(c.fd) {
+		if f.loop.Quiet(c.fd) {
 			f.count.Shed++
 			c.close()
 			return true
@@ -259,7 +269,7 @@
 		c.since = c.f.loop.Since()
 	}
 	c.held = false
-	got, err := loop.Read(c.fd, &c.in, most)
+	got, err := c.f.loop.Read(c.fd, &c.in, most)
 	if c.state == parting {
 		c.in.Free()
 		if c.away += got; c.away > c.f.limits.Away {
@@ -391,7 +401,7 @@
 		c.f.count.CutShort++
 		c.fatal(pg.CodeProtocol, "a message was not whole in time")
 		c.step()
-	case (c.phase == asking || c.phase == between) && !loop.Quiet(c.fd): // it is asking just now
+	case (c.phase == asking || c.phase == between) && !c.f.loop.Quiet(c.fd): // it is asking just now
 		c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Pause)
 	default:
 		switch c.phase {
@@ -562,7 +572,7 @@
 // flush writes on.
 func (c *conn) flush() {
 	owed := c.out.Len()
-	if err := loop.Write(c.fd, &c.out); err != nil {
+	if err := c.f.loop.Write(c.fd, &c.out); err != nil {
 		c.close()
 		return
 	}
@@ -623,7 +633,7 @@
 func (c *conn) part() {
 	c.state = parting
 	c.in.Free()
-	loop.EndSending(c.fd)
+	c.f.loop.EndSending(c.fd)
 }
 
 // close ends the connection; the commands in hand have lost their client.
--- a/internal/loop/wire.go
+++ b/internal/loop/wire.go
@@ -24,7 +24,18 @@
 	Write(fd int, from *buffer.Chain) error
 }
 
-var _ Wire = (*Loop)(nil)
+// ListenWire is a Wire that listens.
+type ListenWire interface {
+	Wire
+	Since() float64
+	Listen(at netip.AddrPort, backlog int) (listener int, err error)
+	Bound(listener int) (netip.AddrPort, error)
+	Waiting(listener int) bool
+	Accept(listener int) (fd int, ok bool, err error)
+	EndSending(fd int)
+}
+
+var _ ListenWire = (*Loop)(nil)
 
 // Dial implements Wire by the function of that name, as the others do.
 func (*Loop) Dial(at netip.AddrPort) (int, error) { return Dial(at) }
@@ -44,5 +55,20 @@
 // Write implements Wire.
 func (*Loop) Write(fd int, from *buffer.Chain) error { return Write(fd, from) }
 
+// Listen implements ListenWire.
+func (*Loop) Listen(at netip.AddrPort, backlog int) (int, error) { return Listen(at, backlog) }
+
+// Bound implements ListenWire.
+func (*Loop) Bound(listener int) (netip.AddrPort, error) { return Bound(listener) }
+
+// Waiting implements ListenWire.
+func (*Loop) Waiting(listener int) bool { return Waiting(listener) }
+
+// Accept implements ListenWire.
+func (*Loop) Accept(listener int) (int, bool, error) { return Accept(listener) }
+
+// EndSending implements ListenWire.
+func (*Loop) EndSending(fd int) { EndSending(fd) }
+
 // Fire has the timer's call made, for a Wire that is no Loop.
 func (t *Timer) Fire() { t.fire() }
--- /dev/null
+++ b/internal/systems/client.go
@@ -0,0 +1,455 @@
+package systems
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net/netip"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"stoatdale.example/stoatdale/internal/buffer"
+	"stoatdale.example/stoatdale/internal/core"
+	"stoatdale.example/stoatdale/internal/count"
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/front"
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/loop"
+	"stoatdale.example/stoatdale/internal/pg"
+	"stoatdale.example/stoatdale/internal/router"
+	"stoatdale.example/stoatdale/internal/site"
+)
+
+var clientKind = Kind{Name: "client", Words: "client connections and the front, with clients, the core, the network and time as the adversary",
+	Faults: map[string]Fault{
+		"swapped":    {"an answer goes to another command than its own", Bounds{Clients: 1, Commands: []string{"look", "look"}}},
+		"lost-byte":  {"the last byte of an answer counts as written, and is not", Bounds{Clients: 1, Commands: []string{"empty"}}},
+		"unclosed":   {"a connection that is closed stays open", Bounds{Clients: 1, Commands: []string{"quit"}, Faults: 1}},
+		"left-twice": {"a command whose client has left is answered all the same", Bounds{Clients: 1, Commands: []string{"look"}, Faults: 1}},
+		"unheard":    {"a client that leaves is not told to the core", Bounds{Clients: 1, Commands: []string{"look"}, Faults: 2}},
+	},
+	New: func(b Bounds, fault string) func() explore.System {
+		return func() explore.System { return newClient(b, fault) }
+	}}
+
+// clients is the system: a front and its clients; the core is the adversary's.
+type clients struct {
+	bounds  Bounds
+	fault   string
+	wire    *listening
+	front   *front.Front
+	blocks  *buffer.Pool
+	check   verdict.Clients
+	clients []*asker
+	taken   []*taken
+	faults  int
+	ticks   int
+	drained bool
+}
+
+// listening is a wire with a listener.
+type listening struct {
+	*wire
+	listener int
+	coming   []int // clients that wait to be accepted
+	fds      map[int]int
+}
+
+// asker is one client: what it says, in order, and how much of that it has said.
+type asker struct {
+	fd   int
+	come bool
+	said int // messages, the start-up packet first
+	half bool
+	slow bool   // it has said half a message, and may be cut short for it
+	got  []byte // all that it was ever sent
+}
+
+// taken is a command that the front took.
+type taken struct {
+	c    *core.Command
+	name string
+	open bool
+}
+
+func newClient(b Bounds, fault string) *clients {
+	s := &clients{bounds: b, fault: fault, wire: &listening{wire: newWire(), fds: map[int]int{}}, blocks: buffer.NewPool(512, 1<<16)}
+	s.wire.keepOpen, s.wire.loseByte = fault == "unclosed", fault == "lost-byte"
+	limits := &site.Limits{Block: 512, Message: 4096, Packet: 1000, Comment: 512, Read: 1 << 16, Accepts: 4, Backlog: 4, Messages: 8, Pipeline: 4,
+		Faults: 3, Away: 1 << 16, Unsent: 1 << 16, Shared: 99, Clients: 9, Idles: 9, Wait: 10, Way: 0.005, First: 2, Whole: 2, Stall: 3, Quiet: 5,
+		Mute: 0.01, Farewell: 1, Pause: 0.5}
+	told := &site.Told{Names: []string{"look"}}
+	told.Groups = []router.CommandGroup{{Timeout: 1, Target: 0.5}}
+	var err error
+	s.front, err = front.Listen(netip.MustParseAddrPort("127.0.0.1:5432"), s.wire, limits, s.blocks, clientCore{s}, told, &count.Counters{}, zerolog.New(io.Discard))
+	if err != nil {
+		panic(err) // the wire refuses nothing
+	}
+	for range b.Clients {
+		s.clients = append(s.clients, &asker{})
+	}
+	return s
+}
+
+// Listen implements loop.ListenWire, as the others do.
+func (l *listening) Listen(netip.AddrPort, int) (int, error) {
+	l.last++
+	l.listener = l.last
+	return l.listener, nil
+}
+func (l *listening) Bound(int) (netip.AddrPort, error) { return netip.AddrPort{}, nil }
+func (l *listening) Waiting(int) bool                  { return len(l.coming) > 0 }
+func (l *listening) Since() float64                    { return l.now }
+func (l *listening) EndSending(int)                    {}
+func (l *listening) Accept(int) (int, bool, error) {
+	if len(l.coming) == 0 {
+		return -1, false, nil
+	}
+	client := l.coming[0]
+	l.coming = l.coming[1:]
+	l.last++
+	l.fds[client] = l.last
+	return l.last, true, nil
+}
+
+// clientCore is the core that the front speaks to: the adversary.
+type clientCore struct{ *clients }
+
+// Set implements front.Core, as the others do.
+func (clientCore) Set(int) (int, bool) { return 0, true }
+func (s clientCore) Open(name string) bool {
+	for _, t := range s.taken {
+		if t.open && t.c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+func (s clientCore) Take(c *core.Command) {
+	s.taken = append(s.taken, &taken{c: c, name: c.Name, open: true})
+}
+func (s clientCore) Left(c *core.Command) {
+	for _, t := range s.taken {
+		if t.c == c && s.fault != "unheard" {
+			s.check.Ended(t.name)
+			t.open = s.fault == "left-twice"
+			c.Text.Free()
+		}
+	}
+}
+func (clientCore) MakeRoom() bool      { return false }
+func (clientCore) Age(float64) float64 { return 1 }
+
+// clientSays are the messages of clients in bounds, beside commands.
+var clientSays = []string{"empty", "bad", "extended", "quit", "garbage"}
+
+// message is what a client says as its n-th, the start-up packet first.
+func (s *clients) message(client, n int) []byte {
+	if n == 0 {
+		return pg.Hello(nil)
+	}
+	switch kind := s.bounds.Commands[n-1]; kind {
+	case "empty":
+		return pg.Query(nil, "")
+	case "bad":
+		return pg.Query(nil, "SELECT 1")
+	case "extended":
+		return pg.Message(pg.Message(nil, 'P', []byte("x\x00\x00\x00\x00")), 'S')
+	case "quit":
+		return pg.Message(nil, 'X')
+	case "garbage":
+		return []byte("?\x00\x00\x00\x04")
+	default:
+		return pg.Query(nil, fmt.Sprintf("SELECT doc FROM items WHERE id = '%c' /* id=%d%d,c=look,d=900,cluster=2 */", 'a'+n, client+1, n))
+	}
+}
+
+// may is what a client's n-th message may be answered with.
+func (s *clients) may(client, n int) func(verdict.Answer) bool {
+	if n == 0 {
+		return func(a verdict.Answer) bool { return a == verdict.Answer{} }
+	}
+	kind := s.bounds.Commands[n-1]
+	return func(a verdict.Answer) bool {
+		switch kind {
+		case "empty":
+			return a.Empty
+		case "bad":
+			return a.Code == pg.CodeSyntax
+		case "extended":
+			return a.Code == pg.CodeUnsupported
+		case "quit", "garbage":
+			return a.Code == pg.CodeProtocol
+		}
+		return a.Value == fmt.Sprintf("%d%d", client+1, n) || a.Code == pg.CodeFull || a.Code == pg.CodeFailed
+	}
+}
+
+// answers reads what a client was sent. What is not yet whole is left out; an error that is fatal needs no more.
+func answers(raw []byte) (out []verdict.Answer) {
+	var a verdict.Answer
+	for len(raw) >= 5 {
+		n := 1 + int(binary.BigEndian.Uint32(raw[1:]))
+		if n < 5 || n > 1<<16 || !bytes.ContainsRune([]byte("RSKZTDCIE"), rune(raw[0])) {
+			return append(out, verdict.Answer{Garbled: true})
+		}
+		if len(raw) < n {
+			return out
+		}
+		body := raw[5:n]
+		switch raw[0] {
+		case 'D':
+			if len(body) >= 6 {
+				a.Value = string(body[6:])
+			}
+		case 'I':
+			a.Empty = true
+		case 'E':
+			for _, f := range strings.Split(string(body), "\x00") {
+				if f != "" && f[0] == 'C' {
+					a.Code = f[1:]
+				}
+			}
+			if a.Code == pg.CodeProtocol { // no ReadyForQuery comes after it
+				out, a = append(out, a), verdict.Answer{}
+			}
+		case 'Z':
+			out, a = append(out, a), verdict.Answer{}
+		}
+		raw = raw[n:]
+	}
+	return out
+}
+
+// Steps implements explore.System.
+func (s *clients) Steps() (out []string) {
+	may := func(kind string) bool { return s.bounds.may(kind, s.faults) }
+	for i, c := range s.clients {
+		if !c.come {
+			if !s.drained {
+				out = append(out, fmt.Sprintf("come %d", i))
+			}
+			continue
+		}
+		k := s.wire.socks[c.fd]
+		if k == nil || k.handler == nil {
+			continue
+		}
+		if len(k.in) > 0 || k.ended {
+			out = append(out, fmt.Sprintf("see %d", i))
+		}
+		if k.wantWrite && k.room == 0 {
+			out = append(out, fmt.Sprintf("take %d", i))
+		}
+		if k.ended {
+			continue
+		}
+		if c.said <= len(s.bounds.Commands) {
+			out = append(out, fmt.Sprintf("say %d", i))
+			if !c.half && may("half") {
+				out = append(out, fmt.Sprintf("half %d", i))
+			}
+		}
+		if may("leave") {
+			out = append(out, fmt.Sprintf("leave %d", i))
+		}
+		if k.room > 0 && may("stall") {
+			out = append(out, fmt.Sprintf("stall %d", i))
+		}
+	}
+	for i, t := range s.taken {
+		if t.open {
+			out = append(out, fmt.Sprintf("answer %d", i), fmt.Sprintf("throttle %d", i), fmt.Sprintf("fail %d", i))
+		}
+	}
+	if !s.drained && may("drain") {
+		out = append(out, "drain")
+	}
+	if s.ticks < s.bounds.Ticks {
+		if _, ok := s.wire.next(); ok {
+			out = append(out, "tick")
+		}
+	}
+	return out
+}
+
+// Take implements explore.System.
+func (s *clients) Take(step string) {
+	var n int
+	what := explore.Kind(step)
+	_, _ = fmt.Sscanf(step[len(what):], "%d", &n)
+	var c *asker
+	var k *sock
+	if n < len(s.clients) {
+		c = s.clients[n]
+		k = s.wire.socks[c.fd]
+	}
+	switch what {
+	case "come":
+		c.come = true
+		s.wire.coming = append(s.wire.coming, n)
+		s.front.Ready(true, false)
+		if c.fd = s.wire.fds[n]; s.wire.socks[c.fd] != nil {
+			s.wire.socks[c.fd].room = 1 << 16
+		}
+	case "say", "half":
+		m := s.message(n, c.said)
+		switch {
+		case c.half:
+			m = m[len(m)/2:]
+			c.half = false
+			c.said++
+		case what == "half":
+			s.faults++
+			m = m[:len(m)/2]
+			c.half, c.slow = true, true
+		default:
+			c.said++
+		}
+		k.in = append(k.in, m...)
+	case "see":
+		k.handler.Ready(true, false)
+	case "stall":
+		s.faults++
+		k.room = 0
+	case "take":
+		k.room = 1 << 16
+		k.handler.Ready(false, true)
+	case "leave":
+		s.faults++
+		k.ended = true
+	case "drain":
+		s.faults++
+		s.drained = true
+		s.front.End()
+	case "tick":
+		s.ticks++
+		s.wire.fire(func(a, b *loop.Timer) bool { return s.of(a) < s.of(b) })
+	default:
+		s.core(what, n)
+	}
+	s.front.Refresh()
+	s.judge()
+}
+
+// core is what the core does with a command that it has in hand.
+func (s *clients) core(what string, n int) {
+	t := s.taken[n]
+	to := t
+	if s.fault == "swapped" {
+		for _, o := range s.taken {
+			if o != t && o.open {
+				to = o
+			}
+		}
+	}
+	s.check.Ended(t.name)
+	t.open = false
+	switch what {
+	case "throttle":
+		s.front.Throttled(t.c, 0)
+	case "fail":
+		s.front.Failed(t.c)
+	default:
+		row := s.blocks.New()
+		b := pg.Message(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
+		b = pg.Message(b, 'D', binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(to.name))), []byte(to.name))
+		row.Write(pg.Message(b, 'C', []byte("SELECT 1\x00")))
+		s.front.Answered(t.c, &row)
+	}
+	t.c.Text.Free()
+}
+
+// judge reads what clients were sent, and looks at what is left once all have gone.
+func (s *clients) judge() {
+	for i, c := range s.clients {
+		if k := s.wire.socks[c.fd]; c.come && k != nil {
+			c.got = append(c.got[:0], k.sent...)
+		}
+		var may []func(verdict.Answer) bool
+		for n := range c.said {
+			own := s.may(i, n)
+			may = append(may, func(a verdict.Answer) bool { return own(a) || c.slow && a.Code == pg.CodeProtocol })
+		}
+		if c.half { // its own half message may be found wrong
+			may = append(may, func(a verdict.Answer) bool { return a.Code == pg.CodeProtocol })
+		}
+		s.check.Read(i, answers(c.got), may)
+	}
+	if s.drained && s.front.Open() == 0 {
+		open := 0
+		for _, t := range s.taken {
+			if t.open {
+				open++
+			}
+		}
+		s.check.Left(len(s.wire.socks), len(s.wire.timers), s.blocks.Out(), open)
+	}
+}
+
+// Broken implements explore.System.
+func (s *clients) Broken() (string, string) { return s.check.Broken() }
+
+// Ended implements explore.System: the front has drained.
+func (s *clients) Ended() bool { return s.drained && s.front.Open() == 0 }
+
+// timer is a connection's, found by where it lies.
+func (s *clients) timer(fd int) *loop.Timer {
+	k := s.wire.socks[fd]
+	if k == nil || k.handler == nil {
+		return nil
+	}
+	at := reflect.ValueOf(k.handler).Elem().FieldByName("timer").Pointer()
+	for t := range s.wire.timers {
+		if reflect.ValueOf(t).Pointer() == at {
+			return t
+		}
+	}
+	return nil
+}
+
+func (s *clients) of(t *loop.Timer) int {
+	for i, c := range s.clients {
+		if c.come && s.timer(c.fd) == t {
+			return i
+		}
+	}
+	return -1
+}
+
+// The lists of those that may make room are left out: there is room for all.
+var clientRules = &explore.Rules{Grain: 1e-9, Skip: func(t reflect.Type, f string) bool {
+	switch t.Name() + "." + f {
+	case "conn.f", "conn.queue", "conn.place", "conn.timer", "conn.fd", "Chain.pool", "Command.Front", "Command.Owner", "sock.handler",
+		"wire.timers", "clients.bounds", "clients.fault", "clients.front", "clients.blocks", "clients.wire":
+		return true
+	}
+	return false
+}}
+
+// Fingerprint implements explore.System.
+func (s *clients) Fingerprint(h *explore.Hash) {
+	h.Rules = clientRules
+	h.Float(s.wire.now)
+	h.Value(s)
+	for _, c := range s.clients {
+		k := s.wire.socks[c.fd]
+		h.Value(k)
+		if k != nil && k.handler != nil {
+			h.Value(k.handler)
+			at, set := s.wire.timers[s.timer(c.fd)]
+			h.Value(set)
+			h.Float(at)
+		}
+	}
+	var rest []float64
+	for _, at := range s.wire.timers {
+		rest = append(rest, at)
+	}
+	sort.Float64s(rest)
+	h.Value(rest)
+}
--- a/internal/systems/systems.go
+++ b/internal/systems/systems.go
@@ -29,7 +29,7 @@
 }
 
 // Kinds are all of them.
-func Kinds() []Kind { return []Kind{commandKind, memberKind, watchKind, rolloutKind} }
+func Kinds() []Kind { return []Kind{commandKind, memberKind, clientKind, watchKind, rolloutKind} }
 
 // Find finds one by its name.
 func Find(name string) (Kind, error) {
@@ -54,7 +54,8 @@
 	Agents   int          `sexp:"agents"`
 	Tools    int          `sexp:"tools"`
 	Members  int          `sexp:"members"`
-	Commands []string     `sexp:"commands"` // their groups
+	Clients  int          `sexp:"clients"`
+	Commands []string     `sexp:"commands"` // their groups, or what each client says
 	Ticks    int          `sexp:"ticks"`    // steps of time
 	Faults   int          `sexp:"faults"`   // of the adversary's, in all
 	Only     []string     `sexp:"only"`     // kinds of faults; none: all
@@ -101,14 +102,14 @@
 		return &sexp.Fault{Place: b.Place, Says: err.Error()}
 	}
 	for _, c := range b.Commands {
-		if groupOf(c) < 0 {
+		if groupOf(c) < 0 && !(b.System == "client" && slices.Contains(clientSays, c)) {
 			return &sexp.Fault{Place: b.Place, Says: fmt.Sprintf("commands: there is no command group %s", c)}
 		}
 	}
 	for _, x := range []struct {
 		key         string
 		value, most int
-	}{{"agents", b.Agents, 9}, {"tools", b.Tools, 4}, {"members", b.Members, 6}, {"ticks", b.Ticks, 1000}, {"faults", b.Faults, 100}} {
+	}{{"agents", b.Agents, 9}, {"tools", b.Tools, 4}, {"members", b.Members, 6}, {"clients", b.Clients, 4}, {"ticks", b.Ticks, 1000}, {"faults", b.Faults, 100}} {
 		if x.value < 0 || x.value > x.most {
 			return &sexp.Fault{Place: b.Place, Says: fmt.Sprintf("%s is %d, and must be within 0 and %d", x.key, x.value, x.most)}
 		}
--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -36,7 +36,7 @@
 	for _, p := range []string{verdict.OneInstance, verdict.OneHolder, verdict.NoFloor, verdict.OneProcess, verdict.Resolved,
 		verdict.OneAnswer, verdict.InTime, verdict.NotAfter, verdict.NoRepeat, verdict.InMemory, verdict.OneOut, verdict.NoDraining,
 		verdict.NotStale, verdict.EndsOnce, verdict.LastByte, verdict.OwnAnswer, verdict.NoneIsLeft, verdict.ListFollows, verdict.ListFrom,
-		verdict.WholeAsked, verdict.OneCall} {
+		verdict.WholeAsked, verdict.OneCall, verdict.InOrder, verdict.EndsOrLet} {
 		assert.True(t, broken[p], "no injected bug breaks it: %s", p)
 	}
 }
@@ -66,7 +66,7 @@
 func TestWaysAtRandomBreakNothing(t *testing.T) {
 	bounds := map[string]Bounds{"command": {Members: 3, Commands: []string{"order", "own", "keyed", "look"}, Ticks: 8, Faults: 4},
 		"rollout": {Agents: 3, Tools: 2, Ticks: 8, Faults: 3}, "member": {Commands: []string{"look", "look", "look", "look"}, Ticks: 6, Faults: 5},
-		"watch": {Ticks: 9, Faults: 9}}
+		"watch": {Ticks: 9, Faults: 9}, "client": {Clients: 2, Commands: []string{"look", "empty", "look", "bad", "extended", "look"}, Ticks: 6, Faults: 6}}
 	for _, k := range Kinds() {
 		rapid.Check(t, func(t *rapid.T) {
 			s := k.New(bounds[k.Name], "")()
@@ -107,7 +107,7 @@
 	dir := t.TempDir()
 	path := filepath.Join(dir, "f")
 	for text, says := range map[string]string{
-		"(bounds moon)":                     `f:1:1: there is no system "moon"; there are [command member rollout watch]`,
+		"(bounds moon)":                     `f:1:1: there is no system "moon"; there are [client command member rollout watch]`,
 		"(bounds command (commands dance))": "f:1:1: commands: there is no command group dance",
 		"(bounds command (memers 2))":       "did you mean members?",
 		"(bounds rollout (agents 99))":      "agents is 99, and must be within 0 and 9",
--- a/internal/systems/wire.go
+++ b/internal/systems/wire.go
@@ -17,6 +17,7 @@
 	timers map[*loop.Timer]float64
 	// Faults at this seam.
 	deafQuiet bool // a connection always looks quiet
+	loseByte  bool // the last byte of a write that went out whole did not arrive
 	keepOpen  bool // what is closed stays open
 	earlyByte bool // the last byte of a write counts as written, and is not
 }
@@ -95,6 +96,9 @@
 		s.room -= n
 		from.Skip(n)
 	}
+	if w.loseByte && from.Len() == 0 && len(s.sent) > 0 {
+		s.sent = s.sent[:len(s.sent)-1]
+	}
 	if w.earlyByte && from.Len() == 1 { // it is taken off, and goes nowhere
 		from.Skip(1)
 	}
