Two more bugs injected: a forgotten mark, a row that is left to another as it was

Need: the issue names both, and no property said that a session's reads do not go back. Change: the command system replaces members, starts routers with new seeds, and watches what a session has seen.

--- a/internal/lab/verdict/command.go
+++ b/internal/lab/verdict/command.go
@@ -12,6 +12,7 @@
 	OneOut     = "no two dispatches of a command are out at once"
 	NoDraining = "nothing new goes to a draining or gone member past the grace"
 	NotStale   = "no read is older than its session's own writes"
+	NotBack    = "no read of a session is older than one before it at the same router"
 )
 
 // Effect of a command, as in the deployment's settings.
@@ -30,6 +31,7 @@
 	GiveUp float64 // its client stops waiting, seconds
 	Memory float64 // seconds that a repeat is known
 	Needs  float64 // position that its data must cover
+	Seen   float64 // position that its session has seen at this router
 
 	answers  int
 	ended    bool // its client left, or the router that held it is gone
@@ -94,8 +96,12 @@
 
 // Served notes that a member answers a read from its data.
 func (c *Commands) Served(name string, cmd *Command, member int, m *Member) {
-	if m.Covers < cmd.Needs {
+	switch {
+	case m.Covers < cmd.Needs:
 		c.breaks(NotStale, "%s is answered by member %d, whose data goes to %.3f s, and needs %.3f s", name, member, m.Covers, cmd.Needs)
+	case m.Covers < cmd.Seen:
+		c.breaks(NotBack, "%s is answered by member %d, whose data goes to %.3f s, and its session has seen %.3f s", name, member, m.Covers,
+			cmd.Seen)
 	}
 }
 
--- a/internal/systems/command.go
+++ b/internal/systems/command.go
@@ -32,6 +32,10 @@
 			Bounds{Members: 2, Commands: []string{"order", "own"}, Ticks: 1, Faults: 1}},
 		"left-behind": {"a client that leaves is not told to the module, whose dispatches go on",
 			Bounds{Members: 1, Commands: []string{"keyed"}, Ticks: 2, Faults: 2}},
+		"forgotten-mark": {"what a session has seen is forgotten between two of its reads",
+			Bounds{Members: 3, Commands: []string{"own", "own"}, Ticks: 1}},
+		"reused-index": {"a member that is gone leaves its row to another at once, as it was",
+			Bounds{Members: 2, Commands: []string{"order", "own"}, Ticks: 1, Faults: 1, Only: []string{"replace"}}},
 		"two-out": {"a dispatch that was called off counts as ended before it has",
 			Bounds{Members: 2, Commands: []string{"look"}, Ticks: 3, Faults: 1}},
 		"far-keyed": {"a keyed command's repeat goes by a set that is not its own",
@@ -77,6 +81,8 @@
 	probes  map[int]bool // that the module waits for
 	check   verdict.Commands
 	token   float64  // position of the session's last write
+	seen    float64  // the furthest position that its reads have shown at this router
+	boots   int      // of the router
 	giveups []int    // commands whose answer is held back by a fault
 	early   [][2]int // dispatches that a fault has ended before they have
 }
@@ -108,7 +114,8 @@
 }
 
 func newCommands(b Bounds, fault string) *commands {
-	c := &commands{bounds: b, fault: fault, probes: map[int]bool{}, check: verdict.Commands{Grace: cmdGrace}, token: math.Inf(-1)}
+	c := &commands{bounds: b, fault: fault, probes: map[int]bool{}, check: verdict.Commands{Grace: cmdGrace}, token: math.Inf(-1),
+		seen: math.Inf(-1)}
 	for range b.Members {
 		c.members = append(c.members, host{told: router.Ready, Member: verdict.Member{Covers: 10}})
 	}
@@ -133,7 +140,8 @@
 		}
 		s.Groups = append(s.Groups, g)
 	}
-	c.router = router.New(s, 1)
+	c.boots++
+	c.router = router.New(s, uint64(c.boots)<<48) // a new seed with each start, that draws otherwise
 	c.hand = hand.New(c.router, c)
 	c.list(true)
 	c.settle()
@@ -228,13 +236,16 @@
 		if c.probes[i] {
 			s = append(s, fmt.Sprintf("report %d", i))
 		}
-		if !m.primary && m.Covers < c.now {
+		if !m.primary && m.Covers < c.now && m.told != router.Gone {
 			s = append(s, fmt.Sprintf("apply %d", i))
 		}
 		if may("drain") && m.told == router.Ready {
 			s = append(s, fmt.Sprintf("drain %d", i))
 		}
-		if may("promote") && !m.primary && m.Covers >= c.token {
+		if may("replace") && !m.primary && m.told == router.Ready {
+			s = append(s, fmt.Sprintf("replace %d", i))
+		}
+		if may("promote") && !m.primary && m.Covers >= c.token && m.told == router.Ready {
 			s = append(s, fmt.Sprintf("promote %d", i))
 		}
 	}
@@ -299,6 +310,9 @@
 		if c.fault != "drain-overlooked" || !c.sending() {
 			c.list(false)
 		}
+	case "replace":
+		c.faults++
+		c.replace(n)
 	case "promote":
 		c.faults++
 		for i := range c.members {
@@ -314,7 +328,7 @@
 				x.out = nil
 			}
 		}
-		c.probes, c.giveups = map[int]bool{}, nil
+		c.probes, c.giveups, c.seen = map[int]bool{}, nil, math.Inf(-1)
 		c.boot()
 	case "tick":
 		c.tick()
@@ -324,6 +338,18 @@
 	c.settle()
 }
 
+// replace has a replica go for good, and another come that has nothing yet.
+func (c *commands) replace(n int) {
+	m := &c.members[n]
+	if c.fault == "reused-index" {
+		m.Covers = 0
+	} else {
+		m.told, m.Away, m.AwaySince = router.Gone, true, c.now
+		c.members = append(c.members, host{told: router.Ready})
+	}
+	c.list(false)
+}
+
 func (c *commands) sending() bool {
 	for _, x := range c.cmds {
 		if len(x.out) > 0 {
@@ -334,11 +360,18 @@
 }
 
 func (c *commands) take(n int) {
+	if c.fault == "forgotten-mark" && !c.sending() {
+		c.boot()
+	}
 	x := c.cmds[n]
 	x.taken = true
 	g := cmdGroups[x.group]
 	x.Effect, x.GiveUp, x.Memory, x.Needs = g.e, c.now+cmdTimeout, cmdMemory, math.Inf(-1)
 	in := router.Command{Group: x.group, Customer: -1, Session: 7, Arrived: c.now, GiveUp: x.GiveUp}
+	x.Seen = math.Inf(-1)
+	if g.g.Need == router.NeedSession {
+		x.Seen = c.seen
+	}
 	if g.g.Need == router.NeedSession && !math.IsInf(c.token, -1) {
 		x.Needs, in.WriteAge = c.token, cmp.Or(c.now-c.token, -math.SmallestNonzeroFloat64) // as the front makes it
 		if c.fault == "no-age" {
@@ -379,6 +412,9 @@
 	case e == router.Answered:
 		o.Position = m.Covers
 		c.check.Served(x.name, &x.Command, l.node, &m.Member)
+		if g.Need == router.NeedSession {
+			c.seen = math.Max(c.seen, m.Covers)
+		}
 	}
 	if c.fault == "early-byte" && e == router.Broken {
 		o.Ending = router.Unreached
@@ -448,6 +484,7 @@
 	h.Value(c.probes)
 	h.Value(c.check)
 	h.Float(c.token)
+	h.Float(c.seen)
 	h.Value(c.giveups)
 }
 
--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, p := range []string{verdict.OneInstance, verdict.OneHolder, verdict.NoFloor, verdict.OneProcess, verdict.Resolved,
 		verdict.OneAnswer, verdict.InTime, verdict.NotAfter, verdict.NoRepeat, verdict.InMemory, verdict.OneOut, verdict.NoDraining,
-		verdict.NotStale, verdict.EndsOnce, verdict.LastByte, verdict.OwnAnswer, verdict.NoneIsLeft, verdict.ListFollows, verdict.ListFrom,
+		verdict.NotStale, verdict.NotBack, verdict.EndsOnce, verdict.LastByte, verdict.OwnAnswer, verdict.NoneIsLeft, verdict.ListFollows, verdict.ListFrom,
 		verdict.WholeAsked, verdict.OneCall, verdict.InOrder, verdict.EndsOrLet} {
 		assert.True(t, broken[p], "no injected bug breaks it: %s", p)
 	}
