--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -162,3 +162,17 @@
 	_, property, _ = trace.Replay()
 	assert.Equal(t, verdict.NotStale, property)
 }
+
+// TestBoundsOfCIAreExploredWhole is the exploration itself.
+func TestBoundsOfCIAreExploredWhole(t *testing.T) {
+	for _, k := range Kinds() {
+		bounds, err := Load("../../deploy/bounds/ci.sexp", k.Name)
+		require.NoError(t, err)
+		for _, b := range bounds {
+			r := explore.Run(context.Background(), k.New(b, ""), b.Explore(0), nil)
+			assert.True(t, r.Complete, "%s: %s", b.Place, r.Stopped)
+			assert.Nil(t, r.Broken, "%s", b.Place)
+			assert.Greater(t, r.States, 1000, "%s", b.Place)
+		}
+	}
+}
