--- a/internal/systems/client.go
+++ b/internal/systems/client.go
@@ -18,7 +18,6 @@
 	"stoatdale.example/stoatdale/internal/explore"
 	"stoatdale.example/stoatdale/internal/front"
 	"stoatdale.example/stoatdale/internal/lab/verdict"
-	"stoatdale.example/stoatdale/internal/loop"
 	"stoatdale.example/stoatdale/internal/pg"
 	"stoatdale.example/stoatdale/internal/router"
 	"stoatdale.example/stoatdale/internal/site"
@@ -343,7 +342,7 @@
 		s.front.End()
 	case "tick":
 		s.ticks++
-		s.wire.fire(func(a, b *loop.Timer) bool { return s.of(a) < s.of(b) })
+		s.wire.fire(s.order())
 	default:
 		s.core(what, n)
 	}
@@ -406,36 +405,20 @@
 	}
 }
 
+// order is the clients' connections.
+func (s *clients) order() (fds []int) {
+	for _, c := range s.clients {
+		fds = append(fds, c.fd)
+	}
+	return fds
+}
+
 // Broken implements explore.System.
 func (s *clients) Broken() (string, string) { return s.check.Broken() }
 
 // Ended implements explore.System: the front has drained.
 func (s *clients) Ended() bool { return s.drained && s.front.Open() == 0 }
 
-// timer is a connection's, found by where it lies.
-func (s *clients) timer(fd int) *loop.Timer {
-	k := s.wire.socks[fd]
-	if k == nil || k.handler == nil {
-		return nil
-	}
-	at := reflect.ValueOf(k.handler).Elem().FieldByName("timer").Pointer()
-	for t := range s.wire.timers {
-		if reflect.ValueOf(t).Pointer() == at {
-			return t
-		}
-	}
-	return nil
-}
-
-func (s *clients) of(t *loop.Timer) int {
-	for i, c := range s.clients {
-		if c.come && s.timer(c.fd) == t {
-			return i
-		}
-	}
-	return -1
-}
-
 // The lists of those that may make room are left out: there is room for all.
 var clientRules = &explore.Rules{Grain: 1e-9, Skip: func(t reflect.Type, f string) bool {
 	switch t.Name() + "." + f {
@@ -456,7 +439,7 @@
 		h.Value(k)
 		if k != nil && k.handler != nil {
 			h.Value(k.handler)
-			at, set := s.wire.timers[s.timer(c.fd)]
+			at, set := s.wire.timers[s.wire.timer(c.fd)]
 			h.Value(set)
 			h.Float(at)
 		}
--- a/internal/systems/member.go
+++ b/internal/systems/member.go
@@ -12,7 +12,6 @@
 	"stoatdale.example/stoatdale/internal/count"
 	"stoatdale.example/stoatdale/internal/explore"
 	"stoatdale.example/stoatdale/internal/lab/verdict"
-	"stoatdale.example/stoatdale/internal/loop"
 	"stoatdale.example/stoatdale/internal/member"
 	"stoatdale.example/stoatdale/internal/pg"
 	"stoatdale.example/stoatdale/internal/router"
@@ -320,7 +319,7 @@
 		}
 	case "tick":
 		s.ticks++
-		s.wire.fire(func(a, b *loop.Timer) bool { return s.of(a) < s.of(b) })
+		s.wire.fire(s.order)
 	case "close":
 		s.closed = true
 		s.m.Close()
@@ -399,7 +398,7 @@
 	for _, fd := range s.order {
 		if k := s.wire.socks[fd]; k != nil {
 			h.Value(k.handler)
-			at, set := s.wire.timers[s.timer(fd)]
+			at, set := s.wire.timers[s.wire.timer(fd)]
 			h.Value(set)
 			h.Float(at)
 		}
@@ -409,27 +408,6 @@
 	}
 }
 
-// timer is a connection's, or nil; it is found by where it lies, since the connection keeps it to itself.
-func (s *members) timer(fd int) *loop.Timer {
-	at := reflect.ValueOf(s.wire.socks[fd].handler).Elem().FieldByName("timer").Pointer()
-	for t := range s.wire.timers {
-		if reflect.ValueOf(t).Pointer() == at {
-			return t
-		}
-	}
-	return nil
-}
-
-// of is the place of the connection that has a timer.
-func (s *members) of(t *loop.Timer) int {
-	for i, fd := range s.order {
-		if s.wire.socks[fd] != nil && s.timer(fd) == t {
-			return i
-		}
-	}
-	return -1
-}
-
 // Broken implements explore.System.
 func (s *members) Broken() (string, string) { return s.check.Broken() }
 
--- a/internal/systems/watch.go
+++ b/internal/systems/watch.go
@@ -15,7 +15,6 @@
 	"stoatdale.example/stoatdale/internal/discovery"
 	"stoatdale.example/stoatdale/internal/explore"
 	"stoatdale.example/stoatdale/internal/lab/verdict"
-	"stoatdale.example/stoatdale/internal/loop"
 	"stoatdale.example/stoatdale/internal/roster"
 	"stoatdale.example/stoatdale/internal/site"
 )
@@ -187,7 +186,7 @@
 	switch what {
 	case "tick":
 		s.ticks++
-		s.wire.fire(func(*loop.Timer, *loop.Timer) bool { return false }) // there is one
+		s.wire.fire(nil) // there is one
 	case "move":
 		s.faults++
 		s.move()
--- a/internal/systems/wire.go
+++ b/internal/systems/wire.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net/netip"
+	"reflect"
+	"slices"
 	"sort"
 
 	"stoatdale.example/stoatdale/internal/buffer"
@@ -126,23 +128,46 @@
 	return first, ok
 }
 
-// fire lets time pass to the first timer, and fires all that are due then. Those of one moment fire in the
-// order in which their connections came, which the caller gives.
-func (w *wire) fire(order func(a, b *loop.Timer) bool) {
-	at, ok := w.next()
+// timer is a connection's, or nil. It is found by where it lies, since the connection keeps it to itself.
+func (w *wire) timer(fd int) *loop.Timer {
+	k := w.socks[fd]
+	if k == nil || k.handler == nil {
+		return nil
+	}
+	at := reflect.ValueOf(k.handler).Elem().FieldByName("timer").Pointer()
+	for t := range w.timers {
+		if reflect.ValueOf(t).Pointer() == at {
+			return t
+		}
+	}
+	return nil
+}
+
+// fire lets time pass to the first timer, and fires all that are due then: those of connections in the order
+// given, others after them.
+func (w *wire) fire(order []int) {
+	first, ok := w.next()
 	if !ok {
 		return
 	}
-	w.now = max(w.now, at)
-	var due []*loop.Timer
-	for t, at := range w.timers {
-		if at <= w.now {
-			due = append(due, t)
+	w.now = max(w.now, first)
+	due := func(t *loop.Timer) bool {
+		at, set := w.timers[t]
+		return set && at <= w.now
+	}
+	var all []*loop.Timer
+	for _, fd := range order {
+		if t := w.timer(fd); t != nil && due(t) {
+			all = append(all, t)
+		}
+	}
+	for t := range w.timers { // no system has more than one that is no connection's
+		if due(t) && !slices.Contains(all, t) {
+			all = append(all, t)
 		}
 	}
-	sort.Slice(due, func(i, j int) bool { return order(due[i], due[j]) })
-	for _, t := range due {
-		if at, set := w.timers[t]; set && at <= w.now {
+	for _, t := range all {
+		if due(t) { // an earlier one may have unset it
 			delete(w.timers, t)
 			t.Fire()
 		}
