Positions are asked for only where a read needs one that no member is known to have

Cause, router.go: Wait probed each member that was never heard at once, whatever traffic there was ('now-max(heardAt, probedAt) >= look' with both -Inf), and a quarter of a probe a command from then on; ask probed for reads that lacked room, not a position, and before the read went to the primary all the same. Change: no unasked look-up unless every member gets a command while a position is good; ask only below the need, and after the spill.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -381,12 +381,12 @@
 	if at = r.pick(now, c, g, c.need); at >= 0 {
 		return at, false
 	}
-	futile := !r.ask(now, c, p) || c.missed
 	if open && r.maySpill(now) {
 		if at = r.fit(now, c, g, p); at >= 0 {
 			return at, true
 		}
 	}
+	futile := !r.ask(now, c, p) || c.missed
 	if r.site.Guarded && (!futile || !open) {
 		if at = r.leastBehind(now, c, g); at >= 0 {
 			return at, false
@@ -409,7 +409,7 @@
 	}
 	if len(r.spare) > 0 {
 		i := r.spare[r.site.Me%len(r.spare)]
-		if n := &r.nodes[i]; r.site.Reports && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
+		if n := &r.nodes[i]; r.site.Reports && n.pos < c.need && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
 			r.probe(now, i)
 		}
 	}
@@ -898,7 +898,7 @@
 				up.Forget = append(up.Forget, i)
 			}
 			if r.usable(n) && (doubted && now-n.probedAt >= r.retry || !doubted && r.site.Reports &&
-				now-math.Max(n.heardAt, n.probedAt) >= r.look) {
+				!math.IsInf(r.look, 1) && now-math.Max(n.heardAt, n.probedAt) >= r.look) {
 				r.probe(now, i)
 			}
 		}
@@ -934,7 +934,11 @@
 		r.warmRate = math.Max(rate/warm, r.warmRate*(1-r.gap/r.site.WarmIn))
 	}
 	every := 1 / math.Max(r.cmds/r.fade, 1/r.longest)
-	r.look = math.Max(r.gap, float64(len(shares))*every/probeShare)
+	// A position is looked up unasked only where each member gets a command while it is good. Hundreds of
+	// routers with little traffic each asked every host in the first second, and few of the answers were used.
+	if r.look = math.Max(r.gap, float64(len(shares))*every/probeShare); float64(len(shares))*every > r.gap {
+		r.look = math.Inf(1)
+	}
 	r.retry = math.Max(r.span/2, shunned*every/probeShare)
 	r.tryGap = every / trialShare
 	r.fade = memorySpan * math.Max(r.span, math.Min(evidence/r.warmRate, r.longest))
