Reads wait for members that can take them: not cold, crowded or doubted ones

Lines: ask took a replica whatever its budget; coldRoom had 1/FallSpan over all routers where no warm rate is known; choose waited catchUp whatever the target; pick held 'no replica is known to cover' for 'all are doubted'; spills looked at no replica's pace. Change: ask passes over cold ones without budget; a fresh router's share of one slot's work as the budget's floor; the wait is at most half of the earning time; last hopes need that no sound replica may cover; a crowded primary takes no spill.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -138,6 +138,7 @@
 	following                bool
 	followAt, followFailures float64 // when the list may be asked for again; failures in a row
 	spare                    []int
+	sound                    int // replicas that are not doubted and may cover the read that was looked at last
 }
 
 // New returns a router that knows nothing but its site.
@@ -381,7 +382,7 @@
 	if at = r.pick(now, c, g, c.need); at >= 0 {
 		return at, false
 	}
-	if open && r.maySpill(now) {
+	if open && r.maySpill(now) && !r.crowded(now, c, g, p) {
 		if at = r.fit(now, c, g, p); at >= 0 {
 			return at, true
 		}
@@ -392,19 +393,24 @@
 			return at, false
 		}
 	}
-	if open && (futile || now-c.Arrived >= catchUp) {
+	// No longer than half of the time in which it earns: an answer must fit in after the wait.
+	if open && (futile || now-c.Arrived >= math.Min(catchUp, holdShare*(r.horizon(c, g)-c.Arrived))) {
 		return r.fit(now, c, g, p), true
 	}
 	return -1, false
 }
 
 // ask has one replica, this router's own, probed for a read that none is known to cover: all routers spread
-// evenly, and keeping all fresh cost more probes than commands. It tells whether any may cover in time.
-func (r *Router) ask(now float64, c *Command, primary int) bool {
+// evenly, and keeping all fresh cost more probes than commands. It tells whether any may cover in time. One that is
+// cold and has its share already is not asked: reads found that it covers, and waited for it in vain.
+func (r *Router) ask(now float64, c *Command, primary int) (may bool) {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
 		if n := &r.nodes[i]; i != primary && r.usable(n) && !n.shunned && n.mayCover(now, c.need) {
-			r.spare = append(r.spare, i)
+			may = true
+			if r.coldRoom(now, i) {
+				r.spare = append(r.spare, i)
+			}
 		}
 	}
 	if len(r.spare) > 0 {
@@ -413,7 +419,18 @@
 			r.probe(now, i)
 		}
 	}
-	return len(r.spare) > 0
+	return may
+}
+
+// crowded says that a replica which may yet cover a read foretells an answer so much earlier than the primary
+// that the read rather waits for it: reads that spill from hundreds of routers, each of which knows few positions,
+// overran primaries with writes to do. Harm: such a read waits for a probe, or for all of catchUp.
+func (r *Router) crowded(now float64, c *Command, g *group, primary int) bool {
+	most := r.sojourn(primary, g) - crowdSlack*g.Target
+	return slices.ContainsFunc(r.sets[c.Set].nodes, func(i int) bool {
+		n := &r.nodes[i]
+		return i != primary && r.usable(n) && !n.shunned && n.mayCover(now, c.need) && r.sojourn(i, g) < most
+	})
 }
 
 // probe notes a probe for the upkeep that is due next.
@@ -477,7 +494,7 @@
 		// taken, or many bad members at once would leave nobody to send to, and nobody to learn from.
 		due := now >= n.trialAt && now-c.Arrived < crowdSlack*g.Target && now-r.triedAt >= r.tryGap &&
 			(math.IsInf(n.downAt, 1) || !r.site.Probes)
-		if due || len(r.spare) == 0 && r.lastHope(now, n) {
+		if due || r.sound == 0 && r.lastHope(now, n) {
 			n.trialAt, r.triedAt = now+r.span, now
 			return trial
 		}
@@ -516,10 +533,13 @@
 // doubted node that is due for a trial first, or -1: a doubted primary too, whose data is excused.
 func (r *Router) qualify(now float64, c *Command, g *group, need float64) int {
 	p, trial := r.primary(c.Set), -1
-	r.spare = r.spare[:0]
+	r.spare, r.sound = r.spare[:0], 0
 	for _, i := range r.sets[c.Set].nodes {
 		n := &r.nodes[i]
 		doubted := r.doubted(now, i)
+		if i != p && !doubted && r.usable(n) && n.mayCover(now, need) {
+			r.sound++
+		}
 		if i == p && !doubted || !r.usable(n) || n.pos < need && i != p || !r.coldRoom(now, i) {
 			continue
 		}
@@ -642,7 +662,11 @@
 		return true
 	}
 	part := r.site.ColdShare + (1-r.site.ColdShare)*math.Max(0, age)/r.site.WarmIn
-	rate := math.Max(coldMargin*r.site.Overload*part*r.warmRate, 1/r.site.FallSpan/float64(r.site.Routers))
+	// A router that has just started, or meets no warm node, has no rate to go by: a node does one command at a
+	// time at least. Where half of the fleet was new, hundreds of such routers left it idle.
+	least := coldMargin * r.site.Overload * part / cmp.Or(r.base, r.site.WarmIn)
+	least = math.Max(1/r.site.FallSpan, least)
+	rate := math.Max(coldMargin*r.site.Overload*part*r.warmRate, least/float64(r.site.Routers))
 	// Rounded at random and never saved up: the parts of a dispatch that many routers have add up
 	// to the whole. One apiece at once, from a hundred routers, pushed a cold node over.
 	if span := coldBurst * r.site.FallSpan; now-n.budgetAt >= span {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -344,6 +344,98 @@
 	assert.Equal(t, Hold, r.Place(10.1, command(gAny)).Verdict, "one dispatch at a time, not too soon")
 }
 
+// Among many routers no replica is known to cover most reads: that once sent them all to a doubted primary.
+func TestNoLastHopeWhereASoundReplicaMayCover(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i := range r.nodes {
+		r.nodes[i].pos, r.nodes[i].shunned, r.nodes[i].bad, r.nodes[i].all = 9.5, i == 0, 4, 4
+	}
+	r.nodes[0].trialAt, r.triedAt, r.tryGap = 9, 10, 100
+	r.nodes[1].bad, r.nodes[2].bad = 0, 0
+	c := command(gBound)
+	c.Arrived, c.GiveUp = 10.2, 12.2
+	assert.Equal(t, Hold, r.Place(10.2, c).Verdict)
+	assert.Len(t, r.wanted, 1, "a replica is asked")
+	r.nodes[1].shunned, r.nodes[2].shunned = true, true
+	r.nodes[1].trialAt, r.nodes[2].trialAt = 12, 12
+	assert.Equal(t, 0, r.Place(10.2, c).Node, "nobody else is left")
+}
+
+// Reads that spilled from hundreds of routers overran primaries with writes to do.
+func TestReadDoesNotSpillOnACrowdedPrimary(t *testing.T) {
+	r := testRouter(t, testSite())
+	for i := range r.nodes {
+		r.nodes[i].pos, r.nodes[i].lat, r.nodes[i].done, r.nodes[i].fadedAt = 9.5, 0.2, 10, 10.2
+	}
+	r.lat, r.reads[2], r.slotAt = 0.02, 10, 102
+	r.nodes[0].lat = 2
+	c := command(gBound)
+	c.Arrived, c.GiveUp = 10.2, 12.2
+	assert.Equal(t, Hold, r.Place(10.2, c).Verdict)
+	r.nodes[1].lat, r.nodes[2].lat = 2, 2
+	a := r.Place(10.2, c)
+	require.Equal(t, Send, a.Verdict)
+	assert.Equal(t, 0, a.Node, "the replicas are no better")
+}
+
+// A read waits for a replica for no longer than leaves its primary time to answer within a short target.
+func TestWaitIsNoLongerThanHalfOfAShortTarget(t *testing.T) {
+	s := testSite()
+	s.Groups[gBound].Target = 0.1
+	r := testRouter(t, s)
+	for i := range r.nodes {
+		r.nodes[i].pos = 9.5
+	}
+	c := command(gBound)
+	c.Arrived, c.GiveUp = 10.2, 12.2
+	require.Equal(t, Hold, r.Place(10.2, c).Verdict)
+	require.Equal(t, Hold, r.Place(10.245, c).Verdict)
+	a := r.Place(10.255, c)
+	require.Equal(t, Send, a.Verdict)
+	assert.Equal(t, 0, a.Node)
+}
+
+// A replica that is cold and has its share was asked, found to cover, and waited for in vain, beside warm ones that
+// nobody asked.
+func TestAColdReplicaWithoutRoomIsNotAsked(t *testing.T) {
+	for me := range 4 {
+		s := testSite()
+		s.Me, s.Routers = me, 1000
+		r := testRouter(t, s)
+		for i := range r.nodes {
+			r.nodes[i].pos = 9.5
+		}
+		r.nodes[1].started, r.nodes[1].budgetAt = 10, 10.2
+		c := command(gBound)
+		c.Arrived, c.GiveUp = 10.2, 12.2
+		require.Equal(t, Hold, r.Place(10.2, c).Verdict)
+		assert.Equal(t, []int{2}, r.wanted, "router %d", me)
+	}
+}
+
+// Routers that have just started meet a fleet of which half is new, and have no warm member's rate to go by: they
+// sent next to nothing to hosts that stood idle. Together they send less than one slot bears at that capacity.
+func TestFreshRoutersUseColdMembersWithinTheirCapacity(t *testing.T) {
+	const many, work = 300, 0.05
+	sent := 0
+	for seed := range many {
+		s := testSite()
+		s.Routers = many
+		r := New(s, uint64(seed+1)*0x9e3779b97f4a7c15)
+		r.Listed(10, []Listing{{State: Ready, Started: 10}}, true, false)
+		r.base = work
+		for at := 10.0; at < 20; at += 0.1 {
+			if r.coldRoom(at, 0) {
+				r.nodes[0].budget--
+				sent++
+			}
+		}
+	}
+	capacity := (0.2 + 1) / 2 * 10 / work // of one slot over the warming
+	assert.Greater(t, float64(sent), 0.7*capacity)
+	assert.Less(t, float64(sent), 1.3*capacity, "half of the overload factor, which is 2")
+}
+
 // A router that hears a member every few seconds doubted it after a single failure.
 func TestOneFailureAloneDoubtsNobody(t *testing.T) {
 	r := testRouter(t, testSite())
