Doubted members that were reached are not probed, and one lost answer doubts nobody

Cause: Wait probed every doubted member each 'retry' (a quarter of a probe a command); doubted held one dispatch without an answer, also after its time-out, against the node, while trials of such nodes come once in twenty commands: false doubts piled up. Change: only what was out of reach is probed; a lone dispatch counts as silence while it is out.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -624,7 +624,10 @@
 func (r *Router) doubted(now float64, at int) bool {
 	n := &r.nodes[at]
 	r.fadeNode(now, n)
-	if n.unheard > 0 && now-n.since > r.patience(n) || n.failing() > r.median+failMargin {
+	// One that is not out any more tells little: hundreds of routers that each hear a node every few seconds shut
+	// out a seventh of a healthy fleet on it.
+	silent := n.unheard > 1 || n.legs > 0 && n.unheard > 0
+	if silent && now-n.since > r.patience(n) || n.failing() > r.median+failMargin {
 		n.shunned = true
 	}
 	return n.shunned
@@ -921,8 +924,13 @@
 				*n = blank
 				up.Forget = append(up.Forget, i)
 			}
-			if r.usable(n) && (doubted && now-n.probedAt >= r.retry || !doubted && r.site.Reports &&
-				!math.IsInf(r.look, 1) && now-math.Max(n.heardAt, n.probedAt) >= r.look) {
+			// A sign of life tells nothing of one that was reached and is silent or failing: a trial does.
+			away, due := !math.IsInf(n.downAt, 1), r.look
+			if doubted {
+				due = math.Max(r.look, r.retry)
+			}
+			if r.usable(n) && (doubted && away && now-n.probedAt >= r.retry || r.site.Reports &&
+				!math.IsInf(r.look, 1) && now-math.Max(n.heardAt, n.probedAt) >= due) {
 				r.probe(now, i)
 			}
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -344,6 +344,37 @@
 	assert.Equal(t, Hold, r.Place(10.1, command(gAny)).Verdict, "one dispatch at a time, not too soon")
 }
 
+// A host that was reached and is silent answers probes all the same: hundreds of routers each kept probing those
+// that they doubted, and only a command's answer ends the doubt. One out of reach is probed.
+func TestDoubtedNodeIsProbedOnlyIfItWasOutOfReach(t *testing.T) {
+	s := testSite()
+	s.Routers = 300
+	r := testRouter(t, s)
+	r.nodes[1].shunned, r.nodes[2].shunned = true, true
+	r.nodes[2].unreached(10)
+	r.cmds, r.waitedAt = 3, 20
+	_, up := r.Wait(25)
+	assert.Equal(t, []int{2}, up.Probe)
+}
+
+// A router that hears each host every few seconds doubted it after one answer that was lost or late.
+func TestOneLostAnswerOfManyRoutersDoubtsNobody(t *testing.T) {
+	r := testRouter(t, testSite())
+	r.lat = 0.05
+	for lost, doubted := range []bool{false, true} {
+		c := command(gAny)
+		c.Arrived = 10 + float64(lost)
+		require.Equal(t, Send, r.Place(c.Arrived, c).Verdict)
+		at := c.Legs[0].Node
+		for i := range r.nodes { // the same node again
+			r.nodes[i].drains = i != at
+		}
+		c.Legs[0].late = true
+		r.After(c.Arrived+0.1, c, Outcome{Ending: TimedOut, Took: 0.1, Position: -1, Over: true})
+		assert.Equal(t, doubted, r.doubted(c.Arrived+0.9, at))
+	}
+}
+
 // Among many routers no replica is known to cover most reads: that once sent them all to a doubted primary.
 func TestNoLastHopeWhereASoundReplicaMayCover(t *testing.T) {
 	r := testRouter(t, testSite())
