Routers with little traffic read where a connection stands

Cause: spread draws from all that qualify; a router with ten commands a second over 120 hosts meets each rarely enough that its connection has been closed, and hears no position twice within its bound. Change: where traffic is that thin (the same test as for blind room), those with a standing connection are drawn from first; a probe's connection counts.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -230,6 +230,7 @@
 		return
 	}
 	r.revive(now, n)
+	n.idle = max(1, n.idle) // the probe's connection stands
 	if position < 0 || !r.site.Reports {
 		return
 	}
@@ -401,8 +402,8 @@
 }
 
 // ask has one replica, this router's own, probed for a read that none is known to cover: all routers spread
-// evenly, and keeping all fresh cost more probes than commands. It tells whether any may cover in time. One that is
-// cold and has its share already is not asked: reads found that it covers, and waited for it in vain.
+// evenly, and keeping all fresh cost more probes than commands. It tells whether any may cover in time. One
+// that is cold and has its share already is not asked: reads found that it covers, and waited for it in vain.
 func (r *Router) ask(now float64, c *Command, primary int) (may bool) {
 	r.spare = r.spare[:0]
 	for _, i := range r.sets[c.Set].nodes {
@@ -423,8 +424,8 @@
 }
 
 // crowded says that a replica which may yet cover a read foretells an answer so much earlier than the primary
-// that the read rather waits for it: reads that spill from hundreds of routers, each of which knows few positions,
-// overran primaries with writes to do. Harm: such a read waits for a probe, or for all of catchUp.
+// that the read rather waits for it: reads that spill from hundreds of routers, each of which knows few
+// positions, overran primaries with writes to do. Harm: such a read waits for a probe, or all of its wait.
 func (r *Router) crowded(now float64, c *Command, g *group, primary int) bool {
 	most := r.sojourn(primary, g) - crowdSlack*g.Target
 	return slices.ContainsFunc(r.sets[c.Set].nodes, func(i int) bool {
@@ -563,6 +564,12 @@
 	}
 	most := r.sojourn(best, g) + crowdSlack*g.Target
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.sojourn(i, g) > most })
+	// Hundreds of routers that each spread a few reads over all hosts open a connection for most of them, and
+	// hear of a position twice nowhere. Harm: a router with several times the mean traffic leans on few.
+	if stands := func(i int) bool { return r.nodes[i].idle > 0 }; r.warmRate*r.span < blindUnder &&
+		slices.ContainsFunc(r.spare, stands) {
+		r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return !stands(i) })
+	}
 	return r.spare[r.chance(len(r.spare))]
 }
 
@@ -624,8 +631,8 @@
 func (r *Router) doubted(now float64, at int) bool {
 	n := &r.nodes[at]
 	r.fadeNode(now, n)
-	// One that is not out any more tells little: hundreds of routers that each hear a node every few seconds shut
-	// out a seventh of a healthy fleet on it.
+	// One that is not out any more tells little: hundreds of routers that each hear a node every few seconds
+	// shut out a seventh of a healthy fleet on it.
 	silent := n.unheard > 1 || n.legs > 0 && n.unheard > 0
 	if silent && now-n.since > r.patience(n) || n.failing() > r.median+failMargin {
 		n.shunned = true
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -524,6 +524,38 @@
 	assert.Zero(t, probes, "nothing was read that needs a position")
 }
 
+// Few reads a router over all replicas opened a connection for most of them. Over all routers they stay even.
+func TestThinRoutersReadWhereAConnectionStands(t *testing.T) {
+	const routers, hosts, reads = 300, 6, 8
+	fresh, taken := 0, make([]int, hosts)
+	for me := range routers {
+		s := testSite()
+		s.Routers = routers
+		r := New(s, uint64(me+1)*0x9e3779b97f4a7c15)
+		var list []Listing
+		for i := range hosts {
+			list = append(list, listed(i))
+		}
+		r.Listed(0, list, true, true)
+		for k := range reads {
+			now := 10 + 2*float64(k)
+			r.Wait(now)
+			c := command(gAny)
+			c.Arrived, c.GiveUp = now, now+2
+			require.Equal(t, Send, r.Place(now, c).Verdict)
+			taken[c.Legs[0].Node]++
+			if c.Legs[0].fresh {
+				fresh++
+			}
+			r.After(now+0.02, c, Outcome{Ending: Answered, Took: 0.02, Position: -1, Over: true})
+		}
+	}
+	assert.Less(t, fresh, 2*routers, "spread over all it is five of eight")
+	for i := range taken {
+		assert.InDelta(t, routers*reads/hosts, taken[i], routers*reads/hosts/3, "host %d", i)
+	}
+}
+
 // Where every member gets commands while a position is good, it is looked up before it is asked for.
 func TestBusyRouterLooksPositionsUp(t *testing.T) {
 	r := testRouter(t, testSite())
