--- a/internal/router/helper_test.go
+++ b/internal/router/helper_test.go
@@ -48,3 +48,16 @@
 func command(group int) *Command {
 	return &Command{Group: group, Customer: -1, Session: 9, Arrived: 10, GiveUp: 12}
 }
+
+// uncovered is a bounded read at 10.2 that no replica is known to cover, but may.
+func uncovered(r *Router) *Command {
+	for i := range r.nodes {
+		r.nodes[i].pos = 9.5
+	}
+	c := command(gBound)
+	c.Arrived, c.GiveUp = 10.2, 12.2
+	return c
+}
+
+// chances is the seed of one of many routers. Small seeds leave the generator's half that draw reads the same.
+func chances(i int) uint64 { return uint64(i+1) * 0x9e3779b97f4a7c15 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -248,7 +248,7 @@
 	for seed := range many {
 		s := testSite()
 		s.Routers = many
-		r := New(s, uint64(seed)<<20|uint64(seed))
+		r := New(s, chances(seed))
 		r.Listed(10, []Listing{{State: Ready, Started: 9}}, true, false)
 		r.warmRate = 0.1
 		for at := 10.0; at < 12; at += 0.1 {
@@ -378,30 +378,26 @@
 // Among many routers no replica is known to cover most reads: that once sent them all to a doubted primary.
 func TestNoLastHopeWhereASoundReplicaMayCover(t *testing.T) {
 	r := testRouter(t, testSite())
-	for i := range r.nodes {
-		r.nodes[i].pos, r.nodes[i].shunned, r.nodes[i].bad, r.nodes[i].all = 9.5, i == 0, 4, 4
-	}
-	r.nodes[0].trialAt, r.triedAt, r.tryGap = 9, 10, 100
-	r.nodes[1].bad, r.nodes[2].bad = 0, 0
-	c := command(gBound)
-	c.Arrived, c.GiveUp = 10.2, 12.2
+	r.nodes[0].shunned, r.nodes[0].trialAt, r.triedAt, r.tryGap = true, 9, 10, 100
+	c := uncovered(r)
 	assert.Equal(t, Hold, r.Place(10.2, c).Verdict)
 	assert.Len(t, r.wanted, 1, "a replica is asked")
 	r.nodes[1].shunned, r.nodes[2].shunned = true, true
 	r.nodes[1].trialAt, r.nodes[2].trialAt = 12, 12
-	assert.Equal(t, 0, r.Place(10.2, c).Node, "nobody else is left")
+	a := r.Place(10.2, c)
+	require.Equal(t, Send, a.Verdict, "nobody else is left")
+	assert.Equal(t, 0, a.Node)
 }
 
 // Reads that spilled from hundreds of routers overran primaries with writes to do.
 func TestReadDoesNotSpillOnACrowdedPrimary(t *testing.T) {
 	r := testRouter(t, testSite())
 	for i := range r.nodes {
-		r.nodes[i].pos, r.nodes[i].lat, r.nodes[i].done, r.nodes[i].fadedAt = 9.5, 0.2, 10, 10.2
+		r.nodes[i].lat, r.nodes[i].done, r.nodes[i].fadedAt = 0.2, 10, 10.2
 	}
 	r.lat, r.reads[2], r.slotAt = 0.02, 10, 102
 	r.nodes[0].lat = 2
-	c := command(gBound)
-	c.Arrived, c.GiveUp = 10.2, 12.2
+	c := uncovered(r)
 	assert.Equal(t, Hold, r.Place(10.2, c).Verdict)
 	r.nodes[1].lat, r.nodes[2].lat = 2, 2
 	a := r.Place(10.2, c)
@@ -414,11 +410,7 @@
 	s := testSite()
 	s.Groups[gBound].Target = 0.1
 	r := testRouter(t, s)
-	for i := range r.nodes {
-		r.nodes[i].pos = 9.5
-	}
-	c := command(gBound)
-	c.Arrived, c.GiveUp = 10.2, 12.2
+	c := uncovered(r)
 	require.Equal(t, Hold, r.Place(10.2, c).Verdict)
 	require.Equal(t, Hold, r.Place(10.245, c).Verdict)
 	a := r.Place(10.255, c)
@@ -433,12 +425,8 @@
 		s := testSite()
 		s.Me, s.Routers = me, 1000
 		r := testRouter(t, s)
-		for i := range r.nodes {
-			r.nodes[i].pos = 9.5
-		}
 		r.nodes[1].started, r.nodes[1].budgetAt = 10, 10.2
-		c := command(gBound)
-		c.Arrived, c.GiveUp = 10.2, 12.2
+		c := uncovered(r)
 		require.Equal(t, Hold, r.Place(10.2, c).Verdict)
 		assert.Equal(t, []int{2}, r.wanted, "router %d", me)
 	}
@@ -452,7 +440,7 @@
 	for seed := range many {
 		s := testSite()
 		s.Routers = many
-		r := New(s, uint64(seed+1)*0x9e3779b97f4a7c15)
+		r := New(s, chances(seed))
 		r.Listed(10, []Listing{{State: Ready, Started: 10}}, true, false)
 		r.base = work
 		for at := 10.0; at < 20; at += 0.1 {
@@ -509,7 +497,7 @@
 	probes := 0
 	for me := range routers {
 		s.Me = me
-		r := New(s, uint64(me))
+		r := New(s, chances(me))
 		r.Listed(0, list, true, true)
 		for now := 0.0; now < 4; now += 0.2 {
 			c := command(gAny)
@@ -531,7 +519,7 @@
 	for me := range routers {
 		s := testSite()
 		s.Routers = routers
-		r := New(s, uint64(me+1)*0x9e3779b97f4a7c15)
+		r := New(s, chances(me))
 		var list []Listing
 		for i := range hosts {
 			list = append(list, listed(i))
@@ -585,11 +573,7 @@
 // A read that goes to the primary at once has no replica asked for it.
 func TestReadThatSpillsAsksNobody(t *testing.T) {
 	r := testRouter(t, testSite())
-	for i := range r.nodes {
-		r.nodes[i].pos = 9.5
-	}
-	c := command(gBound)
-	c.Arrived, c.GiveUp = 10.2, 12.2
+	c := uncovered(r)
 	r.reads[0] = 10
 	r.slotAt = 102
 	a := r.Place(10.2, c)
