Exploration: the cold budget over several routers that know nothing of each other

A system of its own: two to four modules, a replica that starts while they serve, bursts and restarts as the adversary picks. Property: all routers together send a cold member no more than it bears (overload factor times present capacity, over the fall span).

--- /dev/null
+++ b/internal/systems/cold.go
@@ -0,0 +1,206 @@
+package systems
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"stoatdale.example/stoatdale/internal/explore"
+	"stoatdale.example/stoatdale/internal/hand"
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/router"
+)
+
+var coldKind = Kind{Name: "cold", Words: "several routers' modules and one member that has just started, which all of them send to",
+	Faults: map[string]Fault{
+		"alone": {"each router takes itself for the only one", Bounds{Routers: 2, Ticks: 5}},
+		"unstarted": {"a member's start is not told with the list",
+			Bounds{Routers: 2, Ticks: 1}},
+	},
+	New: func(b Bounds, fault string) func() explore.System {
+		return func() explore.System { return newCold(b, fault) }
+	}}
+
+const (
+	coldTick  = 0.5  // seconds of a step of time
+	coldWork  = 0.05 // seconds that a command takes a member, one at a time
+	coldBurst = 8    // reads that come at a router at once
+	coldAsked = 16   // commands that a router has had answered before
+)
+
+// cold is the system: routers that know nothing of each other, a set with a warm primary and a replica that starts
+// while they serve. A burst of reads comes at a router, as many times and wherever the adversary likes: what the
+// router sends is answered at once, what it holds its clients give up.
+type cold struct {
+	bounds  Bounds
+	fault   string
+	now     float64
+	ticks   int
+	faults  int
+	started float64
+	routers []*coldRouter
+	check   verdict.Cold
+}
+
+type coldRouter struct {
+	world  *cold
+	me     int
+	boots  int
+	module *router.Router
+	hand   *hand.Hand
+	out    []coldLeg
+	last   uint32 // command
+	burst  bool   // had one in this step of time
+}
+
+type coldLeg struct {
+	id           uint32
+	number, node int
+}
+
+func newCold(b Bounds, fault string) *cold {
+	c := &cold{bounds: b, fault: fault, now: 10, started: math.Inf(-1), check: verdict.Cold{Capacity: 1 / coldWork, Share: 0.2, WarmIn: 8,
+		Overload: 2, FallSpan: 2}}
+	for i := range b.Routers {
+		r := &coldRouter{world: c, me: i}
+		c.routers = append(c.routers, r)
+		r.boot()
+	}
+	for range coldAsked { // all have served a while, and know what a command costs
+		for _, r := range c.routers {
+			r.ask(1)
+		}
+		c.now += coldTick / 4
+	}
+	c.started = c.now
+	for _, r := range c.routers {
+		r.list()
+	}
+	return c
+}
+
+// boot starts a router, for the first time or anew. It knows the list.
+func (r *coldRouter) boot() {
+	c := r.world
+	r.boots++
+	s := router.Site{Routers: c.bounds.Routers, Me: r.me, Whole: 1, Tick: 0.005, Brought: true, Reports: true, Cancel: true, Tries: 3,
+		Dial: coldWork, ColdShare: c.check.Share, WarmIn: c.check.WarmIn, Overload: c.check.Overload, FallSpan: c.check.FallSpan,
+		Groups: []router.CommandGroup{{Need: router.NeedAny, Effect: router.Replayable, Target: 0.5, Timeout: 1, Benefit: 1, Late: 0.5}}}
+	if c.fault == "alone" {
+		s.Routers = 1
+	}
+	draws := uint64(r.me)<<8 + uint64(r.boots)
+	r.module = router.New(s, draws*0x9e3779b97f4a7c15) // far apart: small seeds draw alike
+	r.hand = hand.New(r.module, r)
+	r.list()
+}
+
+func (r *coldRouter) list() {
+	started := r.world.started
+	if r.world.fault == "unstarted" {
+		started = math.Inf(-1)
+	}
+	r.module.Listed(r.world.now, []router.Listing{{Node: 0, State: router.Ready, Started: math.Inf(-1), Primary: true},
+		{Node: 1, State: router.Ready, Started: started}}, true, false)
+	r.hand.Settle(r.world.now)
+}
+
+// Dispatch implements hand.Out.
+func (r *coldRouter) Dispatch(id uint32, number, node int, _ float64) {
+	if c := r.world; node == 1 && !math.IsInf(c.started, -1) {
+		c.check.Sent(c.now, c.started)
+	}
+	r.out = append(r.out, coldLeg{id, number, node})
+}
+
+// Recall implements hand.Out: an answer is quicker.
+func (r *coldRouter) Recall(uint32, int) {}
+
+// Throttle implements hand.Out.
+func (r *coldRouter) Throttle(uint32, float64) {}
+
+// Fail implements hand.Out.
+func (r *coldRouter) Fail(uint32) {}
+
+// ask has reads come, one after another.
+func (r *coldRouter) ask(reads int) {
+	now := r.world.now
+	for range reads {
+		r.last++
+		r.hand.Take(now, r.last, router.Command{Customer: -1, Arrived: now, GiveUp: now + 1})
+		r.hand.Settle(now)
+		for _, l := range r.out {
+			r.hand.Ended(now, l.id, router.Outcome{Leg: l.number, Ending: router.Answered, Took: coldWork, Over: true, Position: -1})
+		}
+		if r.out = r.out[:0]; r.hand.Len() > 0 {
+			r.hand.Left(now, r.last)
+		}
+		r.hand.Settle(now)
+	}
+}
+
+// Steps implements explore.System.
+func (c *cold) Steps() (s []string) {
+	for i, r := range c.routers {
+		if !r.burst {
+			s = append(s, fmt.Sprintf("burst %d", i))
+		}
+		if c.bounds.may("restart", c.faults) {
+			s = append(s, fmt.Sprintf("restart %d", i))
+		}
+	}
+	if c.ticks < c.bounds.Ticks {
+		s = append(s, "tick")
+	}
+	return s
+}
+
+// Commute implements explore.Commuter: routers know nothing of each other, and the member counts what it is sent.
+func (c *cold) Commute(a, b string) bool {
+	return explore.Kind(a) == "burst" && explore.Kind(b) == "burst" && a != b
+}
+
+// Take implements explore.System.
+func (c *cold) Take(step string) {
+	var n int
+	what := explore.Kind(step)
+	_, _ = fmt.Sscanf(step[len(what):], "%d", &n)
+	switch what {
+	case "burst":
+		c.routers[n].burst = true
+		c.routers[n].ask(coldBurst)
+	case "restart":
+		c.faults++
+		c.routers[n].boot()
+	case "tick":
+		c.ticks++
+		c.now += coldTick
+		for _, r := range c.routers {
+			r.burst = false
+			r.hand.Settle(c.now)
+		}
+	}
+}
+
+var coldRules = &explore.Rules{Grain: 1e-9, Skip: commandRules.Skip}
+
+// Fingerprint implements explore.System.
+func (c *cold) Fingerprint(h *explore.Hash) {
+	h.Rules = coldRules
+	h.Float(c.now)
+	h.Uint(uint64(c.faults))
+	for _, r := range c.routers {
+		h.Value(r.hand)
+		h.Value(r.burst)
+		h.Uint(uint64(r.boots))
+	}
+	h.Value(&c.check)
+}
+
+// Broken implements explore.System.
+func (c *cold) Broken() (string, string) { return c.check.Broken() }
+
+// Ended implements explore.System: the member is sent something, however cold.
+func (c *cold) Ended() bool {
+	return slices.ContainsFunc(c.routers, func(r *coldRouter) bool { return r.burst })
+}
--- a/internal/systems/systems.go
+++ b/internal/systems/systems.go
@@ -29,7 +29,9 @@
 }
 
 // Kinds are all of them.
-func Kinds() []Kind { return []Kind{commandKind, memberKind, clientKind, watchKind, rolloutKind} }
+func Kinds() []Kind {
+	return []Kind{commandKind, coldKind, memberKind, clientKind, watchKind, rolloutKind}
+}
 
 // Find finds one by its name.
 func Find(name string) (Kind, error) {
@@ -54,6 +56,7 @@
 	Agents   int          `sexp:"agents"`
 	Tools    int          `sexp:"tools"`
 	Members  int          `sexp:"members"`
+	Routers  int          `sexp:"routers"`
 	Clients  int          `sexp:"clients"`
 	Commands []string     `sexp:"commands"` // their groups, or what each client says
 	Ticks    int          `sexp:"ticks"`    // steps of time
@@ -109,7 +112,7 @@
 	for _, x := range []struct {
 		key         string
 		value, most int
-	}{{"agents", b.Agents, 9}, {"tools", b.Tools, 4}, {"members", b.Members, 6}, {"clients", b.Clients, 4}, {"ticks", b.Ticks, 1000}, {"faults", b.Faults, 100}} {
+	}{{"agents", b.Agents, 9}, {"tools", b.Tools, 4}, {"members", b.Members, 6}, {"routers", b.Routers, 4}, {"clients", b.Clients, 4}, {"ticks", b.Ticks, 1000}, {"faults", b.Faults, 100}} {
 		if x.value < 0 || x.value > x.most {
 			return &sexp.Fault{Place: b.Place, Says: fmt.Sprintf("%s is %d, and must be within 0 and %d", x.key, x.value, x.most)}
 		}
--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -37,7 +38,7 @@
 	for _, p := range []string{verdict.OneInstance, verdict.OneHolder, verdict.NoFloor, verdict.OneProcess, verdict.Resolved,
 		verdict.OneAnswer, verdict.InTime, verdict.NotAfter, verdict.NoRepeat, verdict.InMemory, verdict.OneOut, verdict.NoDraining,
 		verdict.NotStale, verdict.NotBack, verdict.EndsOnce, verdict.LastByte, verdict.OwnAnswer, verdict.NoneIsLeft, verdict.ListFollows, verdict.ListFrom,
-		verdict.WholeAsked, verdict.OneCall, verdict.InOrder, verdict.EndsOrLet} {
+		verdict.WholeAsked, verdict.OneCall, verdict.InOrder, verdict.EndsOrLet, verdict.ColdBudget} {
 		assert.True(t, broken[p], "no injected bug breaks it: %s", p)
 	}
 }
@@ -71,6 +72,7 @@
 		{System: "rollout", Agents: 2, Tools: 1, Ticks: 1, Faults: 1},
 		{System: "rollout", Agents: 3, Tools: 1, Ticks: 1},
 		{System: "client", Clients: 2, Commands: []string{"look"}, Faults: 1},
+		{System: "cold", Routers: 2, Ticks: 3, Faults: 1},
 	} {
 		k, err := Find(b.System)
 		require.NoError(t, err)
@@ -87,7 +89,7 @@
 
 // TestWaysAtRandomBreakNothing takes the same systems further than they can be explored, and shrinks what breaks.
 func TestWaysAtRandomBreakNothing(t *testing.T) {
-	bounds := map[string]Bounds{"command": {Members: 3, Commands: []string{"order", "own", "keyed", "look"}, Ticks: 8, Faults: 4},
+	bounds := map[string]Bounds{"cold": {Routers: 4, Ticks: 30, Faults: 2}, "command": {Members: 3, Commands: []string{"order", "own", "keyed", "look"}, Ticks: 8, Faults: 4},
 		"rollout": {Agents: 3, Tools: 2, Ticks: 8, Faults: 3}, "member": {Commands: []string{"look", "look", "look", "look"}, Ticks: 6, Faults: 5},
 		"watch": {Ticks: 9, Faults: 9}, "client": {Clients: 2, Commands: []string{"look", "empty", "look", "bad", "extended", "look"}, Ticks: 6, Faults: 6}}
 	for _, k := range Kinds() {
@@ -124,6 +126,24 @@
 	}
 }
 
+// TestColdMemberIsUsedAndNotPushedOver: what it may get is the bound, not what is asked for, and it is no way out to send it nothing.
+func TestColdMemberIsUsedAndNotPushedOver(t *testing.T) {
+	for routers := 1; routers <= 4; routers++ {
+		c := newCold(Bounds{Routers: routers, Ticks: 9}, "")
+		sent := 0
+		for range 8 {
+			for i := range routers {
+				c.Take(fmt.Sprint("burst ", i))
+			}
+			sent = max(sent, len(c.check.Times()))
+			c.Take("tick")
+		}
+		property, how := c.Broken()
+		assert.Empty(t, property, how)
+		assert.Greater(t, sent, 8, "%d routers: within two seconds, of %d asked for", routers, routers*coldBurst*5)
+	}
+}
+
 func TestWalk(t *testing.T) {
 	b := Bounds{Members: 2, Commands: []string{"order", "keyed"}, Ticks: 5, Faults: 2}
 	w := Walk(context.Background(), commandKind, b, "", 1, 200, 60, 0)
