--- a/internal/systems/settle.go
+++ b/internal/systems/settle.go
@@ -91,7 +91,7 @@
 // Settle implements explore.Settler: commands in hand end and leave nothing in it, and commands that come after that are
 // served, if there is a member to serve them.
 func (c *commands) Settle() (property, how string) {
-	for range calmTicks {
+	for range calmTicks / 2 { // a client timeout, and half of one
 		c.quiet()
 	}
 	if c.hand.Len() > 0 {
