The lab: a model of deployments in virtual time, the module beside seven policies, every rule checked

The checkers are those of exploration; the policies that read anywhere break staleness and push cold members over, the module nothing. Looked into on the way: a client's timeout and a dispatch's at the same moment (the router gives up 5 ms earlier, as it does), a position clamped at the log's beginning (the model's fault), a ceiling that the module beat until it knew the true primary and called off hangs. Also: exploration's commands take long quiet as a step, in which the module turns its sessions over and lets rows go, whose indices other members get; nothing broken.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -93,7 +93,7 @@
 		},
 	}
 	root.PersistentFlags().StringVar(&a.level, "log", "warn", "least level that is logged on standard error: debug, info, warn, error")
-	root.AddCommand(a.fleet(), a.agent(), a.keys(), a.drill(), a.explore(), a.version())
+	root.AddCommand(a.fleet(), a.agent(), a.keys(), a.drill(), a.explore(), a.lab(), a.version())
 	return group(root)
 }
 
--- /dev/null
+++ b/internal/lab/sim/sim.go
@@ -0,0 +1,155 @@
+// Package sim plays experiments in virtual time, as many runs at once as there are cores. Each run is one world from
+// one seed, so results are the same whatever the number of cores; they come in the order of the file.
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"stoatdale.example/stoatdale/internal/lab/world"
+)
+
+// Run is one policy with one seed.
+type Run struct {
+	Policy  string            `json:"policy"`
+	Seed    int               `json:"seed"`
+	Service float64           `json:"service"`
+	Tally   world.Tally       `json:"tally"`
+	Groups  []Group           `json:"groups"`
+	Broken  map[string]string `json:"broken,omitempty"` // rules, with the first way
+	Seconds float64           `json:"-"`                // of wall time, which differs from run to run
+}
+
+// Group is how a command group was answered: seconds from its client's first asking on.
+type Group struct {
+	Name     string  `json:"name"`
+	Answered int     `json:"answered"`
+	P50      float64 `json:"p50"`
+	P99      float64 `json:"p99"`
+	P999     float64 `json:"p999"`
+}
+
+// Progress is told as runs end.
+type Progress struct {
+	Done, Of int
+	Left     time.Duration // as the runs so far went
+}
+
+// Play plays all of an experiment's runs. It ends early, with what is done, when ctx ends.
+func Play(ctx context.Context, s *world.Spec, workers int, tell func(Progress)) ([]Run, error) {
+	if workers == 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	var runs []Run
+	for _, p := range s.Policies {
+		for _, seed := range s.Seeds {
+			runs = append(runs, Run{Policy: p, Seed: seed})
+		}
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	next, done := 0, 0
+	for range min(workers, len(runs)) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= len(runs) || ctx.Err() != nil {
+					return
+				}
+				play(s, &runs[i])
+				mu.Lock()
+				done++
+				if p := (Progress{done, len(runs), time.Since(began) / time.Duration(done) * time.Duration(len(runs)-done)}); tell != nil {
+					tell(p)
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	all.Wait()
+	if err := ctx.Err(); err != nil && done < len(runs) {
+		return nil, fmt.Errorf("experiment %s: %d of %d runs were played: %w", s.Name, done, len(runs), err)
+	}
+	return runs, nil
+}
+
+func play(s *world.Spec, r *Run) {
+	began := time.Now()
+	t, broken := world.New(s, r.Policy, r.Seed).Run()
+	r.Tally, r.Service = t, t.Service()
+	if len(broken) > 0 {
+		r.Broken = broken
+	}
+	for i, times := range t.Times {
+		sort.Float64s(times)
+		r.Groups = append(r.Groups, Group{s.Groups[i].Name, len(times), quantile(times, 0.5), quantile(times, 0.99), quantile(times, 0.999)})
+	}
+	r.Tally.Times = nil
+	r.Seconds = time.Since(began).Seconds()
+}
+
+// quantile of numbers in order: the least that so large a share does not exceed; 0 of none.
+func quantile(x []float64, q float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	return x[max(0, int(math.Ceil(q*float64(len(x))))-1)]
+}
+
+// Row is a policy over all seeds.
+type Row struct {
+	Policy     string   `json:"policy"`
+	Runs       int      `json:"runs"`
+	Service    float64  `json:"service"` // mean
+	Least      float64  `json:"least"`
+	Most       float64  `json:"most"`
+	InTarget   float64  `json:"in_target"`   // share of what clients asked
+	Primary    float64  `json:"primary"`     // share of reads that went there
+	Dispatches float64  `json:"per_command"` // dispatches a command asked
+	Broken     []string `json:"broken,omitempty"`
+}
+
+// Table has a row for each policy, in the order of the file.
+func Table(runs []Run) []Row {
+	var rows []Row
+	for _, r := range runs {
+		i := slices.IndexFunc(rows, func(x Row) bool { return x.Policy == r.Policy })
+		if i < 0 {
+			i = len(rows)
+			rows = append(rows, Row{Policy: r.Policy, Least: math.Inf(1)})
+		}
+		x, t := &rows[i], &r.Tally
+		x.Runs++
+		x.Service += r.Service
+		x.Least, x.Most = math.Min(x.Least, r.Service), math.Max(x.Most, r.Service)
+		x.InTarget += share(t.InTarget, t.Asked)
+		x.Primary += share(t.Primary, t.Reads)
+		x.Dispatches += share(t.Dispatches, t.Asked)
+		for p := range r.Broken {
+			if !slices.Contains(x.Broken, p) {
+				x.Broken = append(x.Broken, p)
+			}
+		}
+		slices.Sort(x.Broken)
+	}
+	for i := range rows {
+		n := float64(rows[i].Runs)
+		rows[i].Service, rows[i].InTarget = rows[i].Service/n, rows[i].InTarget/n
+		rows[i].Primary, rows[i].Dispatches = rows[i].Primary/n, rows[i].Dispatches/n
+	}
+	return rows
+}
+
+func share(part, whole int) float64 { return float64(part) / math.Max(1, float64(whole)) }
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,172 @@
+package sim
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/lab/world"
+)
+
+// small is an experiment with room for lines in place of its last, and of its faults.
+func small(t *testing.T, policies, faults string) *world.Spec {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "small.sexp")
+	text := `(name small) (seconds 6s) (seeds 1) (policies ` + policies + `)
+(fleet (routers 2) (sets 1) (replicas 2) (slots 4) (queue 20) (sessions 50) (way 0.5ms) (dial 100ms) (ship 20ms) (apply 0.5ms)
+ (list 500ms) (cold-share 0.2) (warm-in 2s) (overload 2) (fall-span 500ms))
+(group order (need write) (effect mutating) (rate 40) (work 5ms) (target 300ms) (timeout 1s) (benefit 3))
+(group keyed (need write) (effect keyed) (rate 20) (work 5ms) (target 300ms) (timeout 1s) (benefit 3) (memory 3s))
+(group own (need session) (effect replayable) (rate 200) (work 5ms) (target 250ms) (timeout 1s) (benefit 1))
+` + faults
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	s, err := world.Load(path)
+	require.NoError(t, err)
+	return s
+}
+
+func run(t *testing.T, s *world.Spec, workers int) []Run {
+	t.Helper()
+	runs, err := Play(context.Background(), s, workers, nil)
+	require.NoError(t, err)
+	return runs
+}
+
+func TestSameSeedSameBytesOnAnyNumberOfCores(t *testing.T) {
+	s := small(t, "module any ceiling", "(fault crash (set 0) (member 1) (at 2s) (for 1s))")
+	s.Seeds = []int{1, 2}
+	one, err := json.Marshal(run(t, s, 1))
+	require.NoError(t, err)
+	many, err := json.Marshal(run(t, s, 6))
+	require.NoError(t, err)
+	assert.Equal(t, string(one), string(many))
+	runs := run(t, s, 0)
+	assert.NotEqual(t, runs[0].Tally, runs[1].Tally, "another seed is another run")
+	assert.Equal(t, runs[0].Tally.Asked, runs[2].Tally.Asked, "all policies meet the same load")
+}
+
+func TestModuleKeepsAllRulesUnderEveryFault(t *testing.T) {
+	for _, fault := range []string{"", "(fault crash (set 0) (member 0) (at 2s) (for 1s))", "(fault crash (set 0) (member 1) (at 2s) (for 1s))",
+		"(fault hang (set 0) (member 1) (at 2s) (for 2s))", "(fault hang (set 0) (member 0) (at 2s) (for 1s))", "(fault cut (set 0) (member 2) (at 2s) (for 2s))",
+		"(fault slow (set 0) (member 1) (at 2s) (for 2s) (times 8))", "(fault drain (set 0) (member 1) (at 2s) (for 2s))",
+		"(fault elect (set 0) (member 1) (at 2s))", "(fault restart (router 0) (at 2s))",
+		"(fault crash (set 0) (member 1) (at 2s) (for 1s)) (fault crash (set 0) (member 2) (at 2s) (for 1s)) (fault restart (router 1) (at 3s))"} {
+		s := small(t, "module", fault)
+		s.Seeds = []int{1, 2, 3}
+		for _, r := range run(t, s, 0) {
+			assert.Empty(t, r.Broken, "%s, seed %d", fault, r.Seed)
+			assert.Greater(t, r.Service, 0.6, "%s, seed %d", fault, r.Seed)
+		}
+	}
+}
+
+// A checker that cannot fail is a defect: policies that break a rule are told to.
+func TestRulesAreSeenBroken(t *testing.T) {
+	seen := map[string]bool{}
+	for _, x := range []struct {
+		policy, faults string
+		rate           float64 // of reads
+	}{{"any", "", 200}, {"window", "(fault slow (set 0) (member 1) (at 1s) (for 4s) (times 3))", 1500},
+		{"two-choices", "(fault crash (set 0) (member 1) (at 2s) (for 1s)) (fault crash (set 0) (member 2) (at 2s) (for 1s))", 1200}} {
+		s := small(t, x.policy, x.faults)
+		s.Groups[2].Rate, s.Fleet.Heavy, s.Fleet.HeavyApply = x.rate, 0.01, 0.5
+		for _, r := range run(t, s, 0) {
+			for p := range r.Broken {
+				seen[p] = true
+			}
+		}
+	}
+	assert.True(t, seen[verdict.NotStale], "a read of any replica is older than its session's writes: %v", seen)
+	assert.True(t, seen[verdict.NotBack], "%v", seen)
+	assert.True(t, seen[verdict.ColdBudget], "members that start are pushed over by those that do not spare them: %v", seen)
+}
+
+func TestPoliciesStandInTheOrderThatTheyMust(t *testing.T) {
+	s := small(t, "ceiling module any primary", "(fault slow (set 0) (member 1) (at 1s) (for 4s) (times 10))")
+	s.Seeds = []int{1, 2, 3, 4}
+	s.Groups[2].Rate = 1200 // more than a primary has room for
+	rows := Table(run(t, s, 0))
+	require.Len(t, rows, 4)
+	ceiling, module, any, primary := rows[0], rows[1], rows[2], rows[3]
+	assert.Equal(t, 4, ceiling.Runs)
+	assert.Greater(t, ceiling.Service+0.02, module.Service)
+	assert.Greater(t, module.Service, primary.Service, "one member cannot serve it all")
+	assert.Greater(t, module.Service, any.Service, "and a slow one spoils what is spread blindly")
+	assert.Empty(t, module.Broken)
+	assert.Equal(t, 1.0, primary.Primary)
+	assert.Less(t, module.Primary, 0.35)
+}
+
+// Load is open: it asks as much of a policy that falls behind, whose memory the timeouts bound.
+func TestLoadDoesNotWait(t *testing.T) {
+	s := small(t, "primary module", "")
+	s.Groups[2].Rate = 4000
+	runs := run(t, s, 0)
+	assert.Equal(t, runs[0].Tally.Asked, runs[1].Tally.Asked)
+	assert.Greater(t, runs[0].Tally.Asked, 20_000)
+	assert.Less(t, runs[0].Service, 0.7)
+}
+
+func TestInterruptedRunSaysHowFarItCame(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := small(t, "module", "")
+	s.Seeds = []int{1, 2, 3, 4, 5}
+	_, err := Play(ctx, s, 1, func(p Progress) {
+		if p.Done == 2 {
+			cancel()
+		}
+	})
+	require.ErrorIs(t, err, context.Canceled)
+	assert.Contains(t, err.Error(), "2 of 5")
+}
+
+func TestImpossibleWorldsAreRefusedWithTheirPlace(t *testing.T) {
+	good := `(name x) (seconds 6s) (seeds 1) (policies module)
+(fleet (routers 2) (sets 1) (replicas 2) (slots 4) (queue 20) (sessions 50) (way 0.5ms) (dial 100ms) (ship 20ms) (apply 0.5ms)
+ (list 500ms) (cold-share 0.2) (warm-in 2s) (overload 2) (fall-span 500ms))
+(group order (need write) (effect mutating) (rate 40) (work 5ms) (target 300ms) (timeout 1s) (benefit 3))
+(fault hang (set 0) (member 1) (at 2s) (for 1s))`
+	load := func(text string) error {
+		path := filepath.Join(t.TempDir(), "f")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := world.Load(path)
+		return err
+	}
+	require.NoError(t, load(good))
+	for says, change := range map[string][2]string{
+		":2:1: routers is 0":                       {"(routers 2)", "(routers 0)"},
+		":4:1: effect: a write is keyed":           {"mutating", "replayable"},
+		":4:1: need: \"wite\" is none":             {"(need write)", "(need wite)"},
+		":4:1: timeout is 0.1 and target 0.3":      {"(timeout 1s)", "(timeout 100ms)"},
+		"writes keep 20.0 slots of primaries busy": {"(rate 40)", "(rate 4000)"},
+		"there is no policy \"modul\"":             {"(policies module)", "(policies modul)"},
+		":5:1: there is no member 3 in set 0":      {"(member 1)", "(member 3)"},
+		":5:1: at must be within the run":          {"(at 2s)", "(at 20s)"},
+		":6:1: the same member has this fault at":  {"(for 1s))", "(for 1s))\n(fault hang (set 0) (member 1) (at 2500ms) (for 1s))"},
+		"commands are asked for in one run":        {"(seconds 6s)", "(seconds 80000s)"},
+		"group: there is none":                     {"(group order (need write) (effect mutating) (rate 40) (work 5ms) (target 300ms) (timeout 1s) (benefit 3))", ""},
+	} {
+		text := strings.Replace(good, change[0], change[1], 1)
+		if says == "commands are asked for in one run" {
+			text = strings.Replace(strings.Replace(text, "(rate 40)", "(rate 4000)", 1), "(work 5ms)", "(work 0.5ms)", 1)
+		}
+		err := load(text)
+		require.Error(t, err, says)
+		assert.Contains(t, err.Error(), says)
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	assert.Zero(t, quantile(nil, 0.5))
+	x := []float64{1, 2, 3, 4}
+	assert.Equal(t, 2.0, quantile(x, 0.5))
+	assert.Equal(t, 4.0, quantile(x, 0.99))
+	assert.Equal(t, 1.0, quantile(x, 0))
+}
--- /dev/null
+++ b/internal/lab/world/instance.go
@@ -0,0 +1,234 @@
+package world
+
+import (
+	"fmt"
+	"math"
+
+	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/router"
+)
+
+// logBefore is how long before the run the log began, in seconds: positions count from there.
+const logBefore = 1000
+
+// boot starts a router, for the first time or anew.
+func (r *instance) boot(policy string) {
+	r.boots++
+	r.policy = policies[policy](r)
+	r.policy.Listed(r.w.now, r.w.list())
+	r.wake()
+}
+
+// restart has a router end and come back at once, knowing nothing but the list. Its clients ask again.
+func (r *instance) restart(policy string) {
+	for id := uint32(1); id <= r.last; id++ {
+		c := r.commands[id]
+		if c == nil || c.over {
+			continue
+		}
+		c.over = true
+		r.w.check.Ended(&c.Command)
+		r.w.again(c, r.w.way())
+	}
+	r.commands = map[uint32]*command{}
+	for _, s := range r.sessions {
+		s.seen = math.Inf(-1) // what it has shown is promised by one router
+	}
+	r.boot(policy)
+}
+
+// site is what the module is told of the world.
+func (r *instance) site() router.Site {
+	f := &r.w.spec.Fleet
+	s := router.Site{Routers: f.Routers, Me: r.me, Whole: 1, Tick: 0.005, ZeroAt: -logBefore, Brought: true, Reports: true, Cancel: true, Probes: true, Advice: true, MaxAdvice: 1,
+		Tries: 4, Dial: float64(f.Dial), ColdShare: f.ColdShare, WarmIn: float64(f.WarmIn), Overload: f.Overload, FallSpan: float64(f.FallSpan)}
+	for i := range r.w.spec.Groups {
+		g := &r.w.spec.Groups[i]
+		s.Groups = append(s.Groups, router.CommandGroup{Need: needs[g.Need], Effect: effects[g.Effect], Scope: router.InSet, Target: float64(g.Target),
+			Timeout: float64(g.Timeout), Benefit: g.Benefit, Late: g.Late, Bound: float64(g.Bound), Memory: float64(g.Memory)})
+	}
+	return s
+}
+
+// wake has the policy go on, and asks to be woken again when it wants to be.
+func (r *instance) wake() {
+	w := r.w
+	next, probes := r.policy.Settle(w.now)
+	for _, n := range probes {
+		r.probe(n)
+	}
+	if next = math.Max(next, w.now+1e-4); next < r.due || r.due <= w.now {
+		r.due = next
+		w.at(next, func() {
+			if r.due == next {
+				r.due = math.Inf(1)
+				r.wake()
+			}
+		})
+	}
+}
+
+// probe asks a member how it stands.
+func (r *instance) probe(node int) {
+	w, m, p, sent := r.w, r.w.members[node], r.policy, r.w.now
+	w.tally.Probes++
+	back := func(ok bool, position float64) func() {
+		return func() {
+			if r.policy == p { // it did not start anew meanwhile
+				p.Probed(w.now, node, ok, w.now-sent, position, m.primary)
+				r.wake()
+			}
+		}
+	}
+	w.after(w.way(), func() {
+		switch {
+		case m.cut || m.hung:
+			w.after(float64(w.spec.Fleet.Dial)-w.way(), back(false, -1))
+		case m.down:
+			w.after(w.way(), back(false, -1))
+		default:
+			w.after(w.way(), back(true, m.position(w.now)+logBefore))
+		}
+	})
+}
+
+// Dispatch implements hand.Out.
+func (r *instance) Dispatch(id uint32, number, node int, until float64) {
+	w, c, m := r.w, r.commands[id], r.w.members[node]
+	g := &w.spec.Groups[c.group]
+	w.check.Sent(w.now, fmt.Sprint("a command of ", g.Name), &c.Command, node, &verdict.Member{Set: m.set, Away: m.told == router.Draining,
+		AwaySince: m.toldAt})
+	w.tally.Dispatches++
+	if needs[g.Need] != router.NeedWrite {
+		w.tally.Reads++
+		if m.primary {
+			w.tally.Primary++
+		}
+	}
+	l := &leg{cmd: c, number: number, at: m, sent: w.now, open: true}
+	c.legs = append(c.legs, l)
+	if m.cut {
+		w.outcome(l, router.Unreached, float64(w.spec.Fleet.Dial))
+	} else {
+		w.after(w.way(), func() {
+			if l.open {
+				m.arrive(l)
+			}
+		})
+	}
+	w.at(math.Min(until, c.GiveUp), func() {
+		m.cancel(l)
+		r.ended(l, router.TimedOut, false, 0)
+	})
+}
+
+// Recall implements hand.Out.
+func (r *instance) Recall(id uint32, number int) {
+	for _, l := range r.commands[id].legs {
+		if l.number == number {
+			r.w.after(r.w.way(), func() {
+				l.at.cancel(l)
+				r.w.outcome(l, router.Recalled, r.w.way())
+			})
+		}
+	}
+}
+
+// Throttle implements hand.Out.
+func (r *instance) Throttle(id uint32, comeBack float64) {
+	r.w.tally.Throttled++
+	if c := r.final(id); c != nil {
+		r.w.again(c, math.Max(comeBack, 0.05))
+	}
+}
+
+// Fail implements hand.Out.
+func (r *instance) Fail(id uint32) {
+	r.w.tally.Failed++
+	r.final(id)
+}
+
+// final is a command's last answer.
+func (r *instance) final(id uint32) *command {
+	c := r.commands[id]
+	if c == nil {
+		return nil
+	}
+	r.w.check.Answered(r.w.now, "a command of "+r.w.spec.Groups[c.group].Name, &c.Command)
+	c.over = true
+	r.release(c)
+	return c
+}
+
+// release forgets a command with nothing more to come.
+func (r *instance) release(c *command) {
+	for _, l := range c.legs {
+		if l.open {
+			return
+		}
+	}
+	if c.over && r.commands[c.id] == c {
+		delete(r.commands, c.id)
+	}
+}
+
+// again has a client that was turned away come back.
+func (w *World) again(c *command, after float64) {
+	if c.tries < clientTries && w.now+after < float64(w.spec.Seconds)+1 {
+		w.after(after, func() { w.ask(c.group, c.session, c.first, c.tries+1) })
+	}
+}
+
+// ended has a dispatch's outcome come to its router; the first one counts.
+func (r *instance) ended(l *leg, e router.Ending, primary bool, position float64) {
+	c, w := l.cmd, r.w
+	if !l.open {
+		return
+	}
+	l.open = false
+	ran := e == router.Answered || e == router.Broken || e == router.TimedOut || e == router.Recalled
+	w.check.Back(&c.Command, l.sent, l.at.set, ran)
+	if r.commands[c.id] != c { // its router has started anew
+		return
+	}
+	g := &w.spec.Groups[c.group]
+	o := router.Outcome{Leg: l.number, Ending: e, Took: w.now - l.sent, Over: e == router.Answered, Position: -1}
+	if e == router.Answered || e == router.Missed {
+		if o.Role = router.RoleReplica; primary {
+			o.Role = router.RolePrimary
+		}
+	}
+	if e == router.Answered && !math.IsInf(position, -1) {
+		o.Position = position + logBefore
+	}
+	if e == router.Answered && !c.over {
+		r.answered(c, g, l, position)
+	}
+	r.policy.Ended(w.now, c.id, o)
+	r.release(c)
+	r.wake()
+}
+
+// answered counts a member's answer that its client gets.
+func (r *instance) answered(c *command, g *Group, l *leg, position float64) {
+	w, s := r.w, r.sessions[c.session]
+	if needs[g.Need] == router.NeedWrite {
+		s.wrote = math.Max(s.wrote, position)
+	} else {
+		w.check.Served("a command of "+g.Name, &c.Command, l.at.node, &verdict.Member{Covers: position})
+		if needs[g.Need] == router.NeedSession {
+			s.seen = math.Max(s.seen, position)
+		}
+	}
+	w.check.Answered(w.now, "a command of "+g.Name, &c.Command)
+	c.over = true
+	took := w.now - c.first
+	w.tally.Answered++
+	w.tally.Times[c.group] = append(w.tally.Times[c.group], took)
+	if took <= float64(g.Target) {
+		w.tally.InTarget++
+		w.tally.Earned += g.Benefit
+	} else {
+		w.tally.Earned += g.Benefit * g.Late
+	}
+}
--- a/internal/systems/command.go
+++ b/internal/systems/command.go
@@ -54,6 +54,7 @@
 	cmdTimeout = 1.0
 	cmdMemory  = 0.4
 	cmdGrace   = 0.0
+	cmdIdle    = 8.5 // seconds in which the module turns its sessions over and lets rows of members go
 )
 
 type cmdGroup struct {
@@ -88,6 +89,7 @@
 	seen    float64  // the furthest position that its reads have shown at this router
 	boots   int      // of the router
 	giveups []int    // commands whose answer is held back by a fault
+	free    []int    // indices of members that the module has let go
 	early   [][2]int // dispatches that a fault has ended before they have
 }
 
@@ -167,6 +169,7 @@
 		c.hand.Ended(c.now, uint32(e[0]), router.Outcome{Leg: e[1], Ending: router.Recalled, Position: -1})
 	}
 	c.early, c.next = nil, next
+	c.free = append(c.free, keep.Forget...)
 	for _, n := range keep.Probe {
 		c.probes[n] = true
 	}
@@ -257,6 +260,9 @@
 	if may("restart") {
 		s = append(s, "restart")
 	}
+	if slices.Contains(c.bounds.Only, "idle") && may("idle") { // costly, and of use in few bounds
+		s = append(s, "idle")
+	}
 	if c.ticks < c.bounds.Ticks {
 		s = append(s, "tick")
 	}
@@ -338,21 +344,31 @@
 		c.probes, c.giveups, c.seen = map[int]bool{}, nil, math.Inf(-1)
 		c.boot()
 	case "tick":
-		c.tick()
+		c.ticks++
+		c.pass(cmdTick)
+	case "idle":
+		c.faults++
+		c.pass(cmdIdle)
 	default:
 		c.end(n, k, what)
 	}
 	c.settle()
 }
 
-// replace has a replica go for good, and another come that has nothing yet.
+// replace has a replica go for good, and another come that has nothing yet, under an index that the module has let go
+// if there is one.
 func (c *commands) replace(n int) {
 	m := &c.members[n]
 	if c.fault == "reused-index" {
 		m.Covers = 0
 	} else {
 		m.told, m.Away, m.AwaySince = router.Gone, true, c.now
-		c.members = append(c.members, host{told: router.Ready})
+		if len(c.free) > 0 {
+			c.members[c.free[0]] = host{told: router.Ready}
+			c.free = c.free[1:]
+		} else {
+			c.members = append(c.members, host{told: router.Ready})
+		}
 	}
 	c.list(false)
 }
@@ -442,13 +458,12 @@
 	}
 }
 
-// tick lets a step of time pass. The module has its say at each moment that it asked for, and dispatches run out
+// pass lets time pass. The module has its say at each moment that it asked for, and dispatches run out
 // of time at theirs.
-func (c *commands) tick() {
-	c.ticks++
+func (c *commands) pass(span float64) {
 	held := c.giveups
 	c.giveups = nil
-	end := c.now + cmdTick
+	end := c.now + span
 	for c.now < end {
 		at := math.Min(end, math.Max(c.next, c.now+0.001))
 		for _, x := range c.cmds {
@@ -502,6 +517,7 @@
 	h.Float(c.token)
 	h.Float(c.seen)
 	h.Value(c.giveups)
+	h.Value(c.free)
 }
 
 // Broken implements explore.System.
--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -155,6 +155,22 @@
 	}
 }
 
+// TestRowsAreLetGoAndUsedAgain sees that the bounds with long quiet reach what they are for.
+func TestRowsAreLetGoAndUsedAgain(t *testing.T) {
+	c := newCommands(Bounds{Members: 2, Commands: []string{"order", "own"}, Ticks: 1, Faults: 5, Only: []string{"idle", "replace"}}, "")
+	for _, step := range []string{"take 0", "answered 0 0", "replace 1", "idle", "idle"} {
+		require.Contains(t, c.Steps(), step)
+		c.Take(step)
+	}
+	require.Equal(t, []int{1}, c.free)
+	c.Take("replace 2")
+	assert.Len(t, c.members, 3, "the index was used again")
+	c.Take("take 1")
+	c.Take("idle")
+	property, how := c.Broken()
+	assert.Empty(t, property, how)
+}
+
 func TestWalk(t *testing.T) {
 	b := Bounds{Members: 2, Commands: []string{"order", "keyed"}, Ticks: 5, Faults: 2}
 	w := Walk(context.Background(), commandKind, b, "", 1, 200, 60, 0)
