--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -22,7 +22,7 @@
 func (a *app) lab() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Plays experiments on a model of deployments, in virtual time",
 		Long: "Exit status 1 if the module breaks a rule, 4 if an experiment ended before it was complete."}
-	c.AddCommand(a.labRun())
+	c.AddCommand(a.labRun(), a.labCompare())
 	return group(c)
 }
 
@@ -83,6 +83,38 @@
 	return c
 }
 
+func (a *app) labCompare() *cobra.Command {
+	c := &cobra.Command{Use: "compare A B", Short: "Compares two experiments that were kept, paired by seed", Args: cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var runs [2][]sim.Run
+			for i, dir := range args {
+				raw, err := os.ReadFile(filepath.Join(dir, "runs.json"))
+				if err != nil {
+					return fmt.Errorf("experiment: %w", err)
+				}
+				var p played
+				if err := json.Unmarshal(raw, &p); err != nil {
+					return fmt.Errorf("experiment: %s: %w", filepath.Join(dir, "runs.json"), err)
+				}
+				runs[i] = p.Runs
+			}
+			d, err := sim.Compare(runs[0], runs[1])
+			if err != nil {
+				return fmt.Errorf("%s and %s: %w", args[0], args[1], err)
+			}
+			return a.show(d, func(w io.Writer) {
+				t := grid(w, "policy", "pairs", args[0], args[1], "difference", "nine in ten", "")
+				for _, x := range d {
+					t.AppendRow(table.Row{x.Policy, x.Pairs, fmt.Sprintf("%.4f", x.A), fmt.Sprintf("%.4f", x.B), fmt.Sprintf("%+.4f", x.Mean),
+						fmt.Sprintf("%+.4f to %+.4f", x.Low, x.High), x.Told()})
+				}
+				t.Render()
+			})
+		}}
+	a.asJSON(c)
+	return c
+}
+
 // keepPlayed writes what a run depends on beside its results. The same file, seeds and build give the same bytes.
 func keepPlayed(dir string, file []byte, p played) error {
 	p.Out = ""
--- /dev/null
+++ b/internal/lab/sim/compare.go
@@ -0,0 +1,95 @@
+package sim
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+// Difference of two experiments in one policy's service: B less A, paired by seed, so that what the load did to both
+// goes out of it. Low and High hold nine in ten of the means that the same pairs, drawn anew, come to.
+type Difference struct {
+	Policy string  `json:"policy"`
+	Pairs  int     `json:"pairs"`
+	A      float64 `json:"a"` // mean service
+	B      float64 `json:"b"`
+	Mean   float64 `json:"difference"`
+	Low    float64 `json:"low"`
+	High   float64 `json:"high"`
+}
+
+// Told says in a word what a difference tells.
+func (d Difference) Told() string {
+	switch {
+	case d.Pairs < fewPairs:
+		return "too few seeds to tell"
+	case d.Low > 0:
+		return "better"
+	case d.High < 0:
+		return "worse"
+	}
+	return "no difference told"
+}
+
+const (
+	fewPairs = 4    // under which no interval means anything
+	redraws  = 2000 // of the pairs
+	tail     = 0.05 // of the means on either side of the interval
+)
+
+// Compare pairs two experiments' runs, by policy and seed. Runs that only one of them has are an error: what is left
+// out must not look like a result.
+func Compare(a, b []Run) ([]Difference, error) {
+	type pair struct{ a, b float64 }
+	type key struct {
+		policy string
+		seed   int
+	}
+	of := map[key]float64{}
+	for _, r := range b {
+		of[key{r.Policy, r.Seed}] = r.Service
+	}
+	pairs := map[string][]pair{}
+	var order []string
+	for _, r := range a {
+		k := key{r.Policy, r.Seed}
+		other, ok := of[k]
+		if !ok {
+			return nil, fmt.Errorf("policy %s with seed %d is in the first experiment only", r.Policy, r.Seed)
+		}
+		delete(of, k)
+		if len(pairs[r.Policy]) == 0 {
+			order = append(order, r.Policy)
+		}
+		pairs[r.Policy] = append(pairs[r.Policy], pair{r.Service, other})
+	}
+	left := []key{}
+	for k := range of {
+		left = append(left, k)
+	}
+	if len(left) > 0 {
+		k := slices.MinFunc(left, func(x, y key) int { return cmp.Or(cmp.Compare(x.policy, y.policy), cmp.Compare(x.seed, y.seed)) })
+		return nil, fmt.Errorf("policy %s with seed %d is in the second experiment only", k.policy, k.seed)
+	}
+	var out []Difference
+	for _, policy := range order {
+		d := Difference{Policy: policy, Pairs: len(pairs[policy])}
+		n := float64(d.Pairs)
+		for _, p := range pairs[policy] {
+			d.A, d.B, d.Mean = d.A+p.a/n, d.B+p.b/n, d.Mean+(p.b-p.a)/n
+		}
+		rng := rand.New(rand.NewPCG(1, uint64(d.Pairs))) // the same pairs, the same interval
+		means := make([]float64, redraws)
+		for i := range means {
+			for range pairs[policy] {
+				p := pairs[policy][rng.IntN(d.Pairs)]
+				means[i] += (p.b - p.a) / n
+			}
+		}
+		slices.Sort(means)
+		d.Low, d.High = quantile(means, tail), quantile(means, 1-tail)
+		out = append(out, d)
+	}
+	return out, nil
+}
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -170,3 +170,34 @@
 	assert.Equal(t, 4.0, quantile(x, 0.99))
 	assert.Equal(t, 1.0, quantile(x, 0))
 }
+
+func TestCompareIsPairedBySeed(t *testing.T) {
+	var a, b, other []Run
+	for seed := range 10 {
+		hard := float64(seed) / 20 // seeds differ by far more than the two experiments
+		a = append(a, Run{Policy: "module", Seed: seed, Service: 0.9 - hard})
+		b = append(b, Run{Policy: "module", Seed: seed, Service: 0.91 - hard + float64(seed%3)/1000})
+		other = append(other, Run{Policy: "module", Seed: seed, Service: 0.9 - hard + float64(seed%2*2-1)/100})
+	}
+	d, err := Compare(a, b)
+	require.NoError(t, err)
+	require.Len(t, d, 1)
+	assert.Equal(t, 10, d[0].Pairs)
+	assert.InDelta(t, 0.0109, d[0].Mean, 1e-9)
+	assert.Equal(t, "better", d[0].Told())
+	assert.LessOrEqual(t, d[0].Low, d[0].Mean)
+	assert.GreaterOrEqual(t, d[0].High, d[0].Mean)
+	d, err = Compare(b, a)
+	require.NoError(t, err)
+	assert.Equal(t, "worse", d[0].Told())
+	d, err = Compare(a, other)
+	require.NoError(t, err)
+	assert.Equal(t, "no difference told", d[0].Told())
+	d, err = Compare(a[:3], b[:3])
+	require.NoError(t, err)
+	assert.Equal(t, "too few seeds to tell", d[0].Told())
+	_, err = Compare(a, b[:9])
+	assert.ErrorContains(t, err, "seed 9 is in the first")
+	_, err = Compare(a[1:], b)
+	assert.ErrorContains(t, err, "seed 0 is in the second")
+}
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -110,7 +110,9 @@
 	if m.cut {
 		w.outcome(l, router.Unreached, float64(w.spec.Fleet.Dial))
 	} else {
+		m.coming++
 		w.after(w.way(), func() {
+			m.coming--
 			if l.open {
 				m.arrive(l)
 			}
--- a/internal/lab/world/member.go
+++ b/internal/lab/world/member.go
@@ -21,6 +21,7 @@
 	slow    float64
 	started float64 // -Inf: long ago
 	busy    int
+	coming  int // dispatches on their way to it
 	queue   []*leg
 	working map[*leg]bool
 	applied float64  // commit time of the newest record that it has applied
--- a/internal/lab/world/policy.go
+++ b/internal/lab/world/policy.go
@@ -266,8 +266,8 @@
 		if needs[b.group(s).Need] != router.NeedAny && m.position(w.now) < math.Max(c.Needs, c.Seen) {
 			continue
 		}
-		// A dispatch is under way for a while: one that drains or falls behind meanwhile is the price of the way.
-		queue := float64(m.busy+len(m.queue)+1) * m.slow / m.share(w.now)
+		// One that drains or falls behind while the dispatch is on its way is the price of the way.
+		queue := float64(m.busy+len(m.queue)+m.coming+1) * m.slow / m.share(w.now)
 		if queue < least {
 			best, least = []int{m.node}, queue
 		}
