--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -15,6 +15,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
+	"stoatdale.example/stoatdale/internal/lab/report"
 	"stoatdale.example/stoatdale/internal/lab/sim"
 	"stoatdale.example/stoatdale/internal/lab/world"
 )
@@ -22,7 +23,7 @@
 func (a *app) lab() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Plays experiments on a model of deployments, in virtual time",
 		Long: "Exit status 1 if the module breaks a rule, 4 if an experiment ended before it was complete."}
-	c.AddCommand(a.labRun(), a.labCompare())
+	c.AddCommand(a.labRun(), a.labCompare(), a.labReport())
 	return group(c)
 }
 
@@ -65,7 +66,7 @@
 			}
 			took := time.Since(began).Seconds()
 			if out != "" {
-				if err := keepPlayed(out, raw, p); err != nil {
+				if err := keepPlayed(out, raw, spec, p); err != nil {
 					return err
 				}
 			}
@@ -88,13 +89,9 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			var runs [2][]sim.Run
 			for i, dir := range args {
-				raw, err := os.ReadFile(filepath.Join(dir, "runs.json"))
+				p, err := keptPlayed(dir)
 				if err != nil {
-					return fmt.Errorf("experiment: %w", err)
-				}
-				var p played
-				if err := json.Unmarshal(raw, &p); err != nil {
-					return fmt.Errorf("experiment: %s: %w", filepath.Join(dir, "runs.json"), err)
+					return err
 				}
 				runs[i] = p.Runs
 			}
@@ -115,17 +112,55 @@
 	return c
 }
 
+func (a *app) labReport() *cobra.Command {
+	return &cobra.Command{Use: "report DIR", Short: "Makes the page of an experiment that was kept anew", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			p, err := keptPlayed(args[0])
+			if err != nil {
+				return err
+			}
+			spec, err := world.Load(filepath.Join(args[0], "experiment.sexp"))
+			if err != nil {
+				return err
+			}
+			page, err := report.Page(spec, p.Runs)
+			if err == nil {
+				err = renameio.WriteFile(filepath.Join(args[0], "report.html"), page, 0o644)
+			}
+			if err != nil {
+				return fmt.Errorf("experiment: %w", err)
+			}
+			return nil
+		}}
+}
+
+func keptPlayed(dir string) (p played, err error) {
+	path := filepath.Join(dir, "runs.json")
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return p, fmt.Errorf("experiment: %w", err)
+	}
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return p, fmt.Errorf("experiment: %s: %w", path, err)
+	}
+	return p, nil
+}
+
 // keepPlayed writes what a run depends on beside its results. The same file, seeds and build give the same bytes.
-func keepPlayed(dir string, file []byte, p played) error {
+func keepPlayed(dir string, file []byte, spec *world.Spec, p played) error {
 	p.Out = ""
 	raw, err := json.MarshalIndent(p, "", "  ")
 	if err != nil {
 		return fmt.Errorf("experiment: %w", err)
 	}
+	page, err := report.Page(spec, p.Runs)
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return fmt.Errorf("experiment: %w", err)
 	}
-	for name, content := range map[string][]byte{"experiment.sexp": file, "runs.json": append(raw, '\n')} {
+	for name, content := range map[string][]byte{"experiment.sexp": file, "runs.json": append(raw, '\n'), "report.html": page} {
 		if err := renameio.WriteFile(filepath.Join(dir, name), content, 0o644); err != nil {
 			return fmt.Errorf("experiment: %w", err)
 		}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,155 @@
+// Package report makes a page of an experiment: one file, with its charts in it and nothing from outside, that can be read
+// on a phone, in print and without colours.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"math"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"stoatdale.example/stoatdale/internal/lab/sim"
+	"stoatdale.example/stoatdale/internal/lab/world"
+)
+
+// Curve is a policy's service second by second, over all seeds: the share of the benefit that clients asked for in
+// that second and that was earned, whenever.
+type Curve struct {
+	Policy  string
+	Service []float64 // NaN where nothing was asked
+}
+
+// Curves are those of all policies, in the order of the runs.
+func Curves(runs []sim.Run) []Curve {
+	var out []Curve
+	sums := map[string][]world.Second{}
+	for _, r := range runs {
+		if sums[r.Policy] == nil {
+			out = append(out, Curve{Policy: r.Policy})
+		}
+		for i, s := range r.Tally.Series {
+			for len(sums[r.Policy]) <= i {
+				sums[r.Policy] = append(sums[r.Policy], world.Second{})
+			}
+			sums[r.Policy][i].Benefit += s.Benefit
+			sums[r.Policy][i].Earned += s.Earned
+		}
+	}
+	for i := range out {
+		for _, s := range sums[out[i].Policy] {
+			v := math.NaN()
+			if s.Benefit > 0 {
+				v = s.Earned / s.Benefit
+			}
+			out[i].Service = append(out[i].Service, v)
+		}
+	}
+	return out
+}
+
+// lines tell policies apart without colours: by dashes, and by width.
+var lines = []struct {
+	dashes []vg.Length
+	width  vg.Length
+	shade  uint8
+}{{nil, 2.5, 0}, {nil, 1, 0}, {[]vg.Length{8, 3}, 1.5, 0}, {[]vg.Length{2, 2}, 1.5, 0}, {[]vg.Length{8, 2, 2, 2}, 1.5, 0}, {nil, 2.5, 150},
+	{[]vg.Length{8, 3}, 2.5, 150}, {[]vg.Length{2, 2}, 2.5, 150}}
+
+// Chart draws the curves as SVG, with the faults marked where they begin and end.
+func Chart(s *world.Spec, curves []Curve) (string, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "service"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.X.Min, p.X.Max = 0, float64(s.Seconds)
+	p.Legend.Top, p.Legend.Left = false, true
+	for _, f := range s.Faults {
+		for _, at := range []float64{float64(f.At), float64(f.At + f.For)} {
+			l, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: 1}})
+			if err != nil {
+				return "", fmt.Errorf("chart: %w", err)
+			}
+			l.Width, l.Color = 0.5, color.Gray{Y: 170}
+			p.Add(l)
+		}
+	}
+	for i, c := range curves {
+		var xys plotter.XYs
+		for at, v := range c.Service {
+			if !math.IsNaN(v) {
+				xys = append(xys, plotter.XY{X: float64(at) + 0.5, Y: v})
+			}
+		}
+		if len(xys) == 0 {
+			continue
+		}
+		l, err := plotter.NewLine(xys)
+		if err != nil {
+			return "", fmt.Errorf("chart: %w", err)
+		}
+		style := lines[i%len(lines)]
+		l.Width, l.Dashes, l.Color = style.width, style.dashes, color.Gray{Y: style.shade}
+		p.Add(l)
+		p.Legend.Add(c.Policy, l)
+	}
+	canvas := vgsvg.New(24*vg.Centimeter, 12*vg.Centimeter)
+	p.Draw(plotDraw(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("chart: %w", err)
+	}
+	svg := b.String()
+	if i := strings.Index(svg, "<svg"); i > 0 { // within a page there is no declaration of its own
+		svg = svg[i:]
+	}
+	return svg, nil
+}
+
+// Page is an experiment's report.
+func Page(s *world.Spec, runs []sim.Run) ([]byte, error) {
+	chart, err := Chart(s, Curves(runs))
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	err = page.Execute(&b, struct {
+		Spec  *world.Spec
+		Rows  []sim.Row
+		Runs  []sim.Run
+		Chart template.HTML
+	}{s, sim.Table(runs), runs, template.HTML(chart)}) //nolint:gosec // our own drawing
+	if err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"share": func(v float64) string { return fmt.Sprintf("%.3f", v) },
+	"ms":    func(v float64) string { return fmt.Sprintf("%.1f", v*1000) },
+}).Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><meta name="viewport" content="width=device-width, initial-scale=1">
+<title>{{.Spec.Name}}</title>
+<style>body{font-family:sans-serif;max-width:60em;margin:1em auto;padding:0 .5em}.wide{overflow-x:auto}svg{width:100%;height:auto}
+table{border-collapse:collapse}td,th{padding:.2em .6em;border-bottom:1px solid #999;text-align:right}td:first-child,th:first-child{text-align:left}</style>
+</head><body>
+<h1>{{.Spec.Name}}</h1>
+<p>{{.Spec.Fleet.Routers}} routers, {{.Spec.Fleet.Sets}} sets of a primary and {{.Spec.Fleet.Replicas}} replicas, {{printf "%g" .Spec.Seconds}} s, {{len .Spec.Seeds}} seeds.</p>
+<h2>Policies</h2><div class="wide"><table><tr><th>policy</th><th>service</th><th>least</th><th>most</th><th>in target</th><th>reads on primary</th><th>dispatches</th><th>rules broken</th></tr>
+{{range .Rows}}<tr><td>{{.Policy}}</td><td>{{share .Service}}</td><td>{{share .Least}}</td><td>{{share .Most}}</td><td>{{share .InTarget}}</td><td>{{share .Primary}}</td><td>{{printf "%.2f" .Dispatches}}</td><td>{{range .Broken}}{{.}}; {{end}}</td></tr>
+{{end}}</table></div>
+<h2>Service over time</h2><p>Share of the benefit that clients asked for in each second, all seeds together. Upright lines: faults begin and end.</p>{{.Chart}}
+<h2>Faults</h2><div class="wide"><table><tr><th>fault</th><th>where</th><th>at, s</th><th>for, s</th></tr>
+{{range .Spec.Faults}}<tr><td>{{.Kind}}</td><td>{{if eq .Kind "restart"}}router {{.Router}}{{else}}set {{.Set}}, member {{.Member}}{{end}}</td><td>{{printf "%g" .At}}</td><td>{{printf "%g" .For}}</td></tr>
+{{end}}</table></div>
+<h2>Times to the answer, ms</h2><p>From the client's first asking on, of what was answered.</p><div class="wide"><table><tr><th>policy</th><th>seed</th><th>group</th><th>answered</th><th>p50</th><th>p99</th><th>p99.9</th></tr>
+{{range $r := .Runs}}{{range .Groups}}<tr><td>{{$r.Policy}}</td><td>{{$r.Seed}}</td><td>{{.Name}}</td><td>{{.Answered}}</td><td>{{ms .P50}}</td><td>{{ms .P99}}</td><td>{{ms .P999}}</td></tr>
+{{end}}{{end}}</table></div>
+</body></html>
+`))
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,66 @@
+package report
+
+import (
+	"encoding/xml"
+	"io"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/lab/sim"
+	"stoatdale.example/stoatdale/internal/lab/world"
+)
+
+func runs() []sim.Run {
+	series := func(earned ...float64) world.Tally {
+		var t world.Tally
+		for _, e := range earned {
+			t.Series = append(t.Series, world.Second{Benefit: 10, Earned: e})
+		}
+		return t
+	}
+	return []sim.Run{{Policy: "module", Seed: 1, Service: 0.9, Tally: series(10, 8)}, {Policy: "module", Seed: 2, Service: 0.7, Tally: series(10, 4, 5)},
+		{Policy: "any", Seed: 1, Service: 0.2, Tally: series(0, 2), Groups: []sim.Group{{Name: "a<b", Answered: 3, P50: 0.0123}},
+			Broken: map[string]string{"a rule": "so"}}}
+}
+
+func TestCurvesAreOverAllSeeds(t *testing.T) {
+	c := Curves(runs())
+	require.Len(t, c, 2)
+	assert.Equal(t, []float64{1, 0.6, 0.5}, c[0].Service)
+	assert.Equal(t, []float64{0, 0.2}, c[1].Service)
+	assert.True(t, math.IsNaN(Curves([]sim.Run{{Tally: world.Tally{Series: []world.Second{{}}}}})[0].Service[0]), "nothing was asked")
+}
+
+func TestPageIsWholeAndNeedsNothingFromOutside(t *testing.T) {
+	s := &world.Spec{Name: "bad <day>", Seconds: 3, Seeds: []int{1, 2}, Faults: []world.Fault{{Kind: "hang", Member: 2, At: 1, For: 1}}}
+	one, err := Page(s, runs())
+	require.NoError(t, err)
+	two, err := Page(s, runs())
+	require.NoError(t, err)
+	assert.Equal(t, string(one), string(two), "the same runs, the same bytes")
+	text := string(one)
+	for _, says := range []string{"bad &lt;day&gt;", "a&lt;b", "<td>12.3</td>", "0.800", "a rule", "set 0, member 2", "module"} {
+		assert.Contains(t, text, says)
+	}
+	for _, not := range []string{"<script", "src=", "href=", "@import"} {
+		assert.NotContains(t, text, not)
+	}
+	svg := text[strings.Index(text, "<svg") : strings.Index(text, "</svg>")+6]
+	d := xml.NewDecoder(strings.NewReader(svg))
+	paths := 0
+	for {
+		token, err := d.Token()
+		if err == io.EOF {
+			break
+		}
+		require.NoError(t, err)
+		if e, ok := token.(xml.StartElement); ok && e.Name.Local == "path" {
+			paths++
+		}
+	}
+	assert.Greater(t, paths, 4, "two curves, a fault's two marks, axes")
+}
--- a/internal/lab/world/instance.go
+++ b/internal/lab/world/instance.go
@@ -227,10 +227,11 @@
 	took := w.now - c.first
 	w.tally.Answered++
 	w.tally.Times[c.group] = append(w.tally.Times[c.group], took)
+	earned := g.Benefit * g.Late
 	if took <= float64(g.Target) {
 		w.tally.InTarget++
-		w.tally.Earned += g.Benefit
-	} else {
-		w.tally.Earned += g.Benefit * g.Late
+		earned = g.Benefit
 	}
+	w.tally.Earned += earned
+	w.tally.Series[int(c.first)].Earned += earned
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -110,10 +110,18 @@
 	Benefit    float64 `json:"benefit"` // that was asked for
 	Earned     float64 `json:"earned"`
 	Events     int     `json:"events"`
+	// Series is by the second in which clients first asked.
+	Series []Second `json:"series"`
 	// Times of answers from the first asking on, by group, in the order in which they came.
 	Times [][]float64 `json:"-"`
 }
 
+// Second is what was asked for in one, and how much of that was earned, then or later.
+type Second struct {
+	Benefit float64 `json:"benefit"`
+	Earned  float64 `json:"earned"`
+}
+
 // Service is the share of the benefit that was earned.
 func (t *Tally) Service() float64 { return t.Earned / math.Max(t.Benefit, math.SmallestNonzeroFloat64) }
 
@@ -234,6 +242,10 @@
 		n := w.who.IntN(w.spec.Fleet.Sessions)
 		w.tally.Asked++
 		w.tally.Benefit += g.Benefit
+		for len(w.tally.Series) <= int(w.now) {
+			w.tally.Series = append(w.tally.Series, Second{})
+		}
+		w.tally.Series[int(w.now)].Benefit += g.Benefit
 		w.ask(group, uint64(n)+1, w.now, 1)
 		w.nextArrival(group)
 	})
