Long reads of any age: no measure of pace, gathered at one replica; own zones for thin routers

A probe that counted why commands were given up showed: no replica known to cover (they lagged by seconds), the primary foretold too late, a third of the refused called beyond their customer's share, 283 of 784 term-reports given up after two call-offs.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,6 +64,7 @@
 	room, primaryRoom float64 // queueing time that it may meet, by benefit
 	asked, answered   float64 // first tries, and answers within the target
 	weight            float64 // of its benefit: more for the worst-served
+	heavy             bool    // any age will do, and its target is beyond that of all that need fresh data
 }
 
 // node is what this router knows of a member.
@@ -79,6 +80,7 @@
 	out, legs                           int     // dispatches in its foretold queue, and all that are out
 	idle                                int     // connections that should stand open without a dispatch
 	unheard                             int     // dispatches since its last answer
+	owed                                float64 // their work
 	since                               float64 // when the first of those was sent
 	lat, places, done                   float64 // fading sums over answers: time, places in its queue, number
 	bad, all                            float64 // fading sums: failures, outcomes
@@ -114,7 +116,7 @@
 	nodes                       []node
 	sets                        []set
 	z, w                        uint32
-	span, longest               float64 // the longest response target, and client timeout
+	span, longest               float64 // the longest response target of what needs fresh data, and client timeout
 	fade                        float64 // over which records fade
 	gap                         float64 // between two looks at a node: the tightest bound or session target
 	lat                         float64 // fleet's mean answer time
@@ -148,7 +150,10 @@
 	for _, g := range s.Groups {
 		r.groups = append(r.groups, group{CommandGroup: g, stretch: 1, weight: 1, room: g.Target,
 			primaryRoom: g.Target})
-		r.span, r.longest = math.Max(r.span, g.Target), math.Max(r.longest, g.Timeout)
+		r.longest = math.Max(r.longest, g.Timeout)
+		if g.Need != NeedAny {
+			r.span = math.Max(r.span, g.Target)
+		}
 		switch g.Need {
 		case NeedBound:
 			r.gap = math.Min(r.gap, g.Bound)
@@ -156,6 +161,12 @@
 			r.gap = math.Min(r.gap, g.Target)
 		}
 	}
+	if r.span == 0 {
+		r.span = r.longest
+	}
+	for i := range r.groups {
+		r.groups[i].heavy = r.groups[i].Target > r.span
+	}
 	r.site.Routers, r.site.Tries = max(1, s.Routers), max(1, s.Tries)
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
@@ -315,8 +326,10 @@
 	if c.Customer >= 0 && c.Customer < len(r.customers) {
 		rate := r.site.Customers[c.Customer] / float64(r.site.Routers)
 		s := &r.customers[c.Customer]
-		s.left, s.at = math.Min(math.Max(shareDepth, rate*r.span), s.left+rate*(now-s.at)), now
-		if c.over = s.left < 1 && rate > 0; !c.over {
+		s.left, s.at = math.Min(rate*r.span, s.left+rate*(now-s.at)), now
+		// Where clients bring their own routers a router carries what its client sends, no even part of a
+		// share: with few commands in a target nothing is told of the whole, and a third was called beyond it.
+		if c.over = s.left < 1 && rate*r.span >= shareDepth; !c.over {
 			s.left--
 		}
 	}
@@ -415,6 +428,7 @@
 			}
 		}
 	}
+	r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
 	if len(r.spare) > 0 {
 		i := r.spare[r.site.Me%len(r.spare)]
 		if n := &r.nodes[i]; r.site.Reports && n.pos < c.need && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
@@ -506,9 +520,24 @@
 			return trial
 		}
 	}
+	if g.heavy {
+		return r.gather(now, c, g)
+	}
 	return r.spread(now, c, g)
 }
 
+// gather takes the first listed of the spare nodes that has room. A heavy read can stop a replica's log while
+// it runs: spread evenly such reads kept all replicas behind. All routers know one order, so the others stay
+// fresh. Harm: one is crowded.
+func (r *Router) gather(now float64, c *Command, g *group) int {
+	for _, i := range r.spare {
+		if r.fits(now, c, g, i, roomShare*(g.Target-r.workOf(g))) {
+			return i
+		}
+	}
+	return -1
+}
+
 // lastHope says that a doubted node may be asked for want of a better one.
 func (r *Router) lastHope(now float64, n *node) bool {
 	return n.out == 0 && math.IsInf(n.downAt, 1) && now >= n.trialAt-(1-lastResort)*r.span
@@ -571,14 +600,22 @@
 	most := r.sojourn(best, g) + crowdSlack*g.Target
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.sojourn(i, g) > most })
 	// Hundreds of routers that each spread a few reads over all hosts open a connection for most of them, and
-	// hear of a position twice nowhere. Harm: a router with several times the mean traffic leans on few.
-	if stands := func(i int) bool { return r.nodes[i].idle > 0 }; r.warmRate*r.span < blindUnder &&
-		slices.ContainsFunc(r.spare, stands) {
-		r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return !stands(i) })
+	// hear of a position twice nowhere; nor does any see a slow way between zones before it is over, so
+	// they keep to their own. Harm: a router with several times the mean traffic leans on few.
+	if r.warmRate*r.span < blindUnder {
+		r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
+		r.narrow(func(i int) bool { return r.nodes[i].idle > 0 })
 	}
 	return r.spare[r.chance(len(r.spare))]
 }
 
+// narrow keeps the spare nodes that are better, if any are.
+func (r *Router) narrow(better func(int) bool) {
+	if slices.ContainsFunc(r.spare, better) {
+		r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return !better(i) })
+	}
+}
+
 // fit returns a primary if it has room for the command in time, else -1.
 func (r *Router) fit(now float64, c *Command, g *group, at int) int {
 	if !r.coldRoom(now, at) || !r.fits(now, c, g, at, g.primaryRoom) {
@@ -649,10 +686,15 @@
 // patience is how long a node may stay silent after a dispatch; lone lost answers do not count, nor silence
 // that costs little of the target: where answers are quick a long one among them doubted healthy nodes.
 func (r *Router) patience(n *node) float64 {
-	mean := cmp.Or(r.mean(n), testShare*r.span)
-	return math.Max(crowdSlack*r.span, mean*(1+quietAlone/float64(max(1, n.unheard))))
+	mean, unheard := cmp.Or(r.mean(n), testShare*r.span), float64(max(1, n.unheard))
+	// A record of a second is no silence among answers of a tenth.
+	mean += math.Max(0, n.owed/unheard-cmp.Or(r.base, mean))
+	return math.Max(crowdSlack*r.span, mean*(1+quietAlone/unheard))
 }
 
+// workOf is a command group's work, or before its first answer what its target makes likely.
+func (r *Router) workOf(g *group) float64 { return cmp.Or(g.work, testShare*g.Target) }
+
 func (r *Router) fadeNode(now float64, n *node) {
 	if now > n.fadedAt {
 		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp(memorySpan*(n.fadedAt-now)/r.fade)
@@ -714,8 +756,9 @@
 func (r *Router) send(now float64, c *Command, g *group, at int, spilled bool) Answer {
 	n := &r.nodes[at]
 	if n.unheard++; n.unheard == 1 {
-		n.since = now
+		n.since, n.owed = now, 0
 	}
+	n.owed += r.workOf(g)
 	c.Legs = append(c.Legs, Leg{Node: at, Sent: now, Out: true, ahead: n.out, fresh: n.idle == 0})
 	n.idle = max(0, n.idle-1)
 	r.fadeNode(now, n)
@@ -866,14 +909,19 @@
 	if seen := r.pace(n, l.ahead); seen > 0 {
 		g.stretch += groupWeight * (took/seen - g.stretch)
 	}
-	n.lat += math.Max(0, took+r.base-g.work) // as of a command of mean work
+	n.lat += r.asMean(g, took)
 	n.places += float64(l.ahead + 1)
 	n.done++
 }
 
+// asMean is an answer time as of a command of mean work. What a heavier one takes beyond its own work is
+// chance of that work more than queue, so it counts in proportion.
+func (r *Router) asMean(g *group, took float64) float64 {
+	return math.Max(0, r.base+(took-g.work)*math.Min(1, r.base/math.Max(g.work, roundOff)))
+}
+
 // learn takes in an answer: the node's health and pace, the session's positions.
 func (r *Router) learn(now float64, c *Command, g *group, n *node, l *Leg, o Outcome) {
-	r.measure(g, n, l, o.Took)
 	g.left -= groupWeight * g.left
 	if now <= c.Arrived+g.Target {
 		g.answered++
@@ -891,11 +939,14 @@
 	case g.weighedAt == 0:
 		g.work = mean
 	}
-	r.heard++ // the first answers count alike, or the first alone would stand for minutes
-	w := math.Max(groupWeight, 1/r.heard)
-	r.base += w * (g.work - r.base)
-	r.lat += w * (math.Max(0, o.Took+r.base-g.work) - r.lat)
-	r.places += w * (float64(l.ahead+1) - r.places)
+	if !g.heavy {
+		r.heard++ // the first answers count alike, or the first alone would stand for minutes
+		w := math.Max(groupWeight, 1/r.heard)
+		r.base += w * (g.work - r.base)
+		r.lat += w * (r.asMean(g, o.Took) - r.lat)
+		r.places += w * (float64(l.ahead+1) - r.places)
+	}
+	r.measure(g, n, l, o.Took)
 	at, s := r.site.ZeroAt+o.Position, r.session(c.Session)
 	switch {
 	case c.Session == 0 || g.Need != NeedWrite && (g.Need != NeedSession || o.Position < 0):
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -40,6 +40,7 @@
 	Worst       float64   // weight of the worst-served command group
 	Routers     int       // routers in this tier
 	Me          int       // this router's number among them
+	Zone        int       // where it runs; negative: not told
 	Tick        float64   // batches come at most this often
 	ZeroAt      float64   // the time from which positions count
 	Brought     bool      // session reads bring the age of the session's last write
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -28,6 +28,7 @@
 type params struct {
 	Routers int      `json:"balancers"`
 	Me      int      `json:"me"`
+	Zone    *int     `json:"zone"`
 	Zones   []string `json:"zones"`
 	Classes []struct {
 		Name   string  `json:"name"`
@@ -113,7 +114,7 @@
 	}
 	var err error
 	s := router.Site{
-		Routers: p.Routers, Me: p.Me, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
+		Routers: p.Routers, Me: p.Me, Zone: -1, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
 		Brought: word(&err, "familyInfo.tokens", p.Family.Tokens, brought),
 		Guarded: word(&err, "familyInfo.guards", p.Family.Guards, guarded),
 		Ask:     p.Discovery == "ask", AskWithin: p.Rules.AskWithin * nano, SoftRemoval: p.Rules.Soft,
@@ -123,6 +124,9 @@
 		ColdShare: p.Rules.Cold, WarmIn: p.Rules.Warm * nano, Overload: p.Rules.Overload,
 		FallSpan: p.Rules.Fall * nano,
 	}
+	if p.Zone != nil {
+		s.Zone = *p.Zone
+	}
 	var names []string
 	for i, c := range p.Classes {
 		names = append(names, c.Name)
@@ -171,6 +175,7 @@
 	}{
 		{"limits.dialTimeoutNs", t.Dial, true, math.Inf(1)}, {"limits.connIdleNs", t.Idle, true, math.Inf(1)},
 		{"limits.mostTries", float64(t.Tries), true, math.Inf(1)}, {"me", float64(t.Me), false, math.Inf(1)},
+		{"zone", float64(t.Zone + 1), false, float64(len(t.Zones))},
 		{"tickNs", t.Tick, false, 1}, {"limits.maxRetryAfterNs", t.MaxAdvice, false, math.Inf(1)},
 		{"invariants.startCapacity", t.ColdShare, false, 1}, {"invariants.rampTimeNs", t.WarmIn, true, math.Inf(1)},
 		{"invariants.overloadFactor", t.Overload, true, math.Inf(1)}, {"invariants.fallNs", t.FallSpan, true, math.Inf(1)},
