No position probes where replicas check reads; silence longer; a failed probe is not out of reach

Probed counted every failed probe as out of reach: where probes err at hosts that serve, doubted ones were left to probes for good and came back as cold. The outcome is passed on now by adapter, members and core.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -214,7 +214,10 @@
 	if err != nil {
 		return err
 	}
-	return in.guard(func() { in.probed(host, code == 0, took, load) })
+	if code >= len(endings) {
+		return fmt.Errorf("unknown outcome %d of a probe", code)
+	}
+	return in.guard(func() { in.probed(host, endings[code], took, load) })
 }
 
 const nano = 1e-9
@@ -298,7 +301,7 @@
 	in.hand.Ended(in.now, e.ID, o)
 }
 
-func (in *instance) probed(host wire.Host, ok bool, took uint64, load []float32) {
+func (in *instance) probed(host wire.Host, ending router.Ending, took uint64, load []float32) {
 	node, known := in.hosts.Find(host)
 	if !known {
 		return
@@ -312,7 +315,7 @@
 			primary = v == 1
 		}
 	}
-	in.router.Probed(in.now, node, ok, seconds(int64(took)), position, primary)
+	in.router.Probed(in.now, node, ending, seconds(int64(took)), position, primary)
 }
 
 func (in *instance) stamp(at float64) uint64 { return in.base + uint64(math.Round(at/nano)) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,7 +60,7 @@
 
 type probed struct {
 	node   int
-	ok     bool
+	ending router.Ending
 	took   float64
 	report string
 }
@@ -193,8 +193,8 @@
 }
 
 // Probed implements member.Sink.
-func (o *Core) Probed(node int, ok bool, took float64, report string) {
-	o.probes = append(o.probes, probed{node: node, ok: ok, took: took, report: report})
+func (o *Core) Probed(node int, ending router.Ending, took float64, report string) {
+	o.probes = append(o.probes, probed{node: node, ending: ending, took: took, report: report})
 }
 
 // Settle hands over what was gathered until nothing more comes of it, and returns when to settle next.
@@ -229,7 +229,7 @@
 	}
 	for _, p := range probes {
 		position, primary := o.report(p.report)
-		o.router.Probed(now, p.node, p.ok, p.took, position, primary)
+		o.router.Probed(now, p.node, p.ending, p.took, position, primary)
 	}
 	for i := range ends {
 		o.end(now, &ends[i])
@@ -323,7 +323,7 @@
 	}
 	o.hand.Ended(now, e.d.ID, said)
 	if position, primary := o.report(e.answer.Health); position >= 0 && o.told.OnAnswers {
-		o.router.Probed(now, e.d.Node, true, e.took, position, primary)
+		o.router.Probed(now, e.d.Node, router.Answered, e.took, position, primary)
 	}
 	if e.ending == router.Answered && c != nil && !c.done {
 		o.count.Answered++
--- a/internal/lab/world/policy.go
+++ b/internal/lab/world/policy.go
@@ -62,7 +62,11 @@
 
 // Probed implements Policy.
 func (m *module) Probed(now float64, node int, ok bool, took, position float64, primary bool) {
-	m.router.Probed(now, node, ok, took, position, primary)
+	ending := router.Answered
+	if !ok {
+		ending = router.Unreached
+	}
+	m.router.Probed(now, node, ending, took, position, primary)
 }
 
 // simple is a policy that knows the list and its own dispatches. Reads go where choose says, all else to the listed
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -31,7 +31,7 @@
 type Sink interface {
 	// Ended gives a dispatch's outcome; the answer's row, if it was served, is the receiver's to free.
 	Ended(d *Dispatch, ending router.Ending, took float64, answer *pg.Answer)
-	Probed(node int, ok bool, took float64, report string)
+	Probed(node int, ending router.Ending, took float64, report string)
 }
 
 // Members is all connections to members. Nodes are the module's small indices.
@@ -136,7 +136,7 @@
 	c := m.take(node)
 	if c == nil {
 		m.count.ProbesFailed++
-		m.sink.Probed(node, false, 0, "")
+		m.sink.Probed(node, router.Unreached, 0, "")
 		return
 	}
 	c.probe, c.since = true, m.loop.Now()
@@ -333,7 +333,7 @@
 	if probe {
 		report := a.Report()
 		a.Row.Free()
-		c.probed(a.Served(), now-since, report)
+		c.probed(ending(&a), now-since, report)
 		return
 	}
 	d.conn = nil
@@ -387,8 +387,8 @@
 	d, probe, now := c.dispatch, c.probe, c.m.loop.Now()
 	c.dispatch, c.probe = nil, false
 	c.close()
-	if probe { // a member that spoils its report has been reached all the same
-		c.probed(e == router.Errored, now-c.since, "")
+	if probe {
+		c.probed(e, now-c.since, "")
 	}
 	if d != nil {
 		d.conn = nil
@@ -396,11 +396,11 @@
 	}
 }
 
-func (c *conn) probed(ok bool, took float64, report string) {
-	if !ok {
+func (c *conn) probed(e router.Ending, took float64, report string) {
+	if e != router.Answered {
 		c.m.count.ProbesFailed++
 	}
-	c.m.sink.Probed(c.node, ok, took, report)
+	c.m.sink.Probed(c.node, e, took, report)
 }
 
 // close ends a connection that carries nothing.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -29,7 +29,7 @@
 	node    net.Listener
 	endings []router.Ending
 	values  []string
-	probes  []bool
+	probes  []router.Ending
 	reports []string
 }
 
@@ -41,8 +41,8 @@
 	}
 }
 
-func (b *bench) Probed(_ int, ok bool, _ float64, report string) {
-	b.probes, b.reports = append(b.probes, ok), append(b.reports, report)
+func (b *bench) Probed(_ int, ending router.Ending, _ float64, report string) {
+	b.probes, b.reports = append(b.probes, ending), append(b.reports, report)
 }
 
 func listener(t *testing.T) net.Listener {
@@ -325,7 +325,7 @@
 	b.m.limits.Probe = 0.01
 	b.m.Probe(0)
 	b.run(func() bool { return len(b.probes) == 3 })
-	assert.Equal(t, []bool{true, false, false}, b.probes)
+	assert.Equal(t, []router.Ending{router.Answered, router.Errored, router.TimedOut}, b.probes)
 	assert.Zero(t, b.m.Open(), "one that was not answered is closed")
 }
 
@@ -336,7 +336,7 @@
 	b.send("d=99", far)
 	c := b.accept()
 	b.m.Probe(0)
-	assert.Equal(t, []bool{false}, b.probes, "the one place is taken")
+	assert.Equal(t, []router.Ending{router.Unreached}, b.probes, "the one place is taken")
 	b.reply(c, "one")
 	other := listener(t)
 	b.m.Place(1, netip.MustParseAddrPort(other.Addr().String()), false)
@@ -374,7 +374,7 @@
 	b.hear(c, 5)
 	_, _ = c.Write([]byte("~~~~~~"))
 	b.run(func() bool { return len(b.probes) == 1 })
-	assert.Equal(t, []bool{true}, b.probes)
+	assert.Equal(t, []router.Ending{router.Errored}, b.probes)
 	assert.Equal(t, []string{""}, b.reports)
 	assert.EqualValues(t, 1, b.count.Spoilt)
 	assert.Zero(t, b.m.Open())
@@ -390,5 +390,5 @@
 	b.reply(c, "late")
 	assert.Zero(t, b.m.Open(), "one that was busy is not kept for whoever has the row next")
 	b.m.Probe(0)
-	assert.Equal(t, []bool{false}, b.probes, "no address is left")
+	assert.Equal(t, []router.Ending{router.Unreached}, b.probes, "no address is left")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,7 +29,7 @@
 	shareDepth  = 4       // commands of a customer that may come at once within its share at one router
 	memorySpan  = 4       // longest response targets over which a node's pace fades; its health does in one,
 	evidence    = 2       // or in the time of so many dispatches to it, where these are rare
-	quietAlone  = 4.0     // mean answer times, shared by the dispatches since the last answer, beyond one
+	quietAlone  = 8.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter   = 5.0     // foretold answer times after which an answer that others overtook is lost
 	mostRuns    = 2       // dispatches without an answer, after which a command is itself at fault
 	mostStretch = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
@@ -233,11 +233,15 @@
 	r.followAt = now + gap*(1+r.draw())/2
 }
 
-// Probed takes in a probe's result. Only its report speaks for the node's data.
-func (r *Router) Probed(now float64, at int, ok bool, took, position float64, primary bool) {
+// Probed takes in a probe's result. Only its report speaks for the node's data. An error is the answer of one that
+// runs, and silence tells less than a command that was answered meanwhile: where probes failed at hosts that served
+// as usual, these counted as out of reach, then as started anew, and none was tried again while the probes failed.
+func (r *Router) Probed(now float64, at int, ending Ending, took, position float64, primary bool) {
 	n := &r.nodes[at]
-	if !ok {
-		n.unreached(now)
+	if ending != Answered && ending != Errored && ending != Full {
+		if n.lastGood < now-took {
+			n.unreached(now)
+		}
 		return
 	}
 	r.revive(now, n)
@@ -431,7 +435,7 @@
 	r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
 	if len(r.spare) > 0 {
 		i := r.spare[r.site.Me%len(r.spare)]
-		if n := &r.nodes[i]; r.site.Reports && n.pos < c.need && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
+		if n := &r.nodes[i]; r.site.Reports && !r.site.Guarded && n.pos < c.need && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
 			r.probe(now, i)
 		}
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -370,10 +370,10 @@
 		r.After(at+0.05, c, Outcome{Ending: Unreached, Position: -1})
 	}
 	require.True(t, r.doubted(11, 1))
-	r.Probed(11, 1, true, 0, 11, false)
+	r.Probed(11, 1, Answered, 0, 11, false)
 	assert.False(t, r.doubted(12, 1))
 	r.nodes[1].unheard, r.nodes[1].since = 3, 12
-	r.Probed(13, 1, true, 0, 13, false)
+	r.Probed(13, 1, Answered, 0, 13, false)
 	assert.True(t, r.doubted(14, 1), "one that was reached and is silent goes on being doubted")
 }
 
@@ -1009,3 +1009,34 @@
 	testRouter(t, s).Place(10, c)
 	assert.Less(t, c.need, 10.0, "0: none is known")
 }
+
+// Where probes failed for half a minute at hosts that served as usual these counted as out of reach and, once a
+// probe went through, as started anew.
+func TestFailedProbesOfHostsThatServeTellNothing(t *testing.T) {
+	r := testRouter(t, testSite())
+	for now := 10.1; now < 20; now += 0.5 {
+		r.nodes[1].lastGood = now - 0.05
+		r.Probed(now, 1, Errored, 0.01, -1, false)
+		r.Probed(now+0.01, 1, TimedOut, 0.25, -1, false)
+	}
+	n := &r.nodes[1]
+	assert.True(t, math.IsInf(n.downAt, 1), "an error is an answer, and commands were answered meanwhile")
+	r.Probed(20.5, 1, TimedOut, 0.25, -1, false)
+	assert.Equal(t, 20.5, n.downAt, "nothing answered since")
+	r.Probed(21.5, 1, TimedOut, 0.25, -1, false)
+	r.Probed(21.6, 1, Errored, 0.01, -1, false)
+	assert.Equal(t, 21.6, n.started, "away for longer than chance, it may have started anew")
+}
+
+// Where replicas check reads a miss tells their position for nothing; probes for it cost a service point in thirty.
+func TestNoPositionIsProbedForWhereReplicasCheck(t *testing.T) {
+	for _, guarded := range []bool{true, false} {
+		s := testSite()
+		s.Guarded = guarded
+		r := testRouter(t, s)
+		r.maySpill(10.2)
+		r.reads[r.slotAt%spillSlots], r.spills[r.slotAt%spillSlots] = 1, 1
+		r.Place(10.2, uncovered(r))
+		assert.Equal(t, guarded, len(r.wanted) == 0)
+	}
+}
--- a/internal/systems/command.go
+++ b/internal/systems/command.go
@@ -311,7 +311,7 @@
 		if c.fault == "spoilt-position" {
 			at += 2 * cmdTick
 		}
-		c.router.Probed(c.now, n, true, 0, at, m.primary)
+		c.router.Probed(c.now, n, router.Answered, 0, at, m.primary)
 	case "apply":
 		c.members[n].Covers = c.now
 	case "drain":
--- a/internal/systems/member.go
+++ b/internal/systems/member.go
@@ -122,7 +122,7 @@
 }
 
 // Probed implements member.Sink.
-func (memberSink) Probed(int, bool, float64, string) {}
+func (memberSink) Probed(int, router.Ending, float64, string) {}
 
 // written tells whether a command's statement was written whole on any connection, ever.
 func (s *members) written(id int) bool {
