--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -116,6 +116,7 @@
 	nodes                       []node
 	sets                        []set
 	z, w                        uint32
+	heavy                       bool    // there are heavy groups
 	span, longest               float64 // the longest response target of what needs fresh data, and client timeout
 	fade                        float64 // over which records fade
 	gap                         float64 // between two looks at a node: the tightest bound or session target
@@ -166,6 +167,7 @@
 	}
 	for i := range r.groups {
 		r.groups[i].heavy = r.groups[i].Target > r.span
+		r.heavy = r.heavy || r.groups[i].heavy
 	}
 	r.site.Routers, r.site.Tries = max(1, s.Routers), max(1, s.Tries)
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
@@ -432,6 +434,8 @@
 			}
 		}
 	}
+	at := r.gather(now, c.Set)
+	r.narrow(func(i int) bool { return i != at })
 	r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
 	if len(r.spare) > 0 {
 		i := r.spare[r.site.Me%len(r.spare)]
@@ -524,19 +528,23 @@
 			return trial
 		}
 	}
-	if g.heavy {
-		return r.gather(now, c, g)
+	if at := r.gather(now, c.Set); g.heavy {
+		r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return i != at })
+	} else {
+		r.narrow(func(i int) bool { return i != at })
 	}
 	return r.spread(now, c, g)
 }
 
-// gather takes the first listed of the spare nodes that has room. A heavy read can stop a replica's log while
-// it runs: spread evenly such reads kept all replicas behind. All routers know one order, so the others stay
-// fresh. Harm: one is crowded.
-func (r *Router) gather(now float64, c *Command, g *group) int {
-	for _, i := range r.spare {
-		if r.fits(now, c, g, i, roomShare*(g.Target-r.workOf(g))) {
-			return i
+// gather is the first listed replica that lets commands in, or -1. A heavy read can stop a replica's log while it
+// runs: spread evenly such reads kept all replicas behind. All routers know one order, so heavy reads meet there
+// and others, as long as another will do, do not. Harm: one replica is crowded, and of no use to fresh reads.
+func (r *Router) gather(now float64, s int) int {
+	if p := r.primary(s); r.heavy {
+		for _, i := range r.sets[s].nodes {
+			if n := &r.nodes[i]; i != p && r.usable(n) && math.IsInf(n.downAt, 1) {
+				return i
+			}
 		}
 	}
 	return -1
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -795,28 +795,33 @@
 	assert.Equal(t, 0.1, r.base)
 }
 
-// Spread evenly, reads of any age that run for seconds stopped the log of every replica of their set.
-func TestLongReadsOfAnyAgeGather(t *testing.T) {
+// Spread evenly, reads of any age that run for seconds stopped the log of every replica of their set, and other
+// reads met theirs.
+func TestHeavyReadsMeetAtOneReplica(t *testing.T) {
 	s := testSite()
 	s.Groups[gAny].Target, s.Groups[gAny].Timeout = 6, 12
 	r := testRouter(t, s)
-	for range 3 {
+	heavy := func() int {
 		c := command(gAny)
 		c.GiveUp = 22
-		assert.Equal(t, 1, r.Place(10, c).Node, "the first listed replica")
+		return r.Place(10, c).Node
+	}
+	for range 3 {
+		assert.Equal(t, 1, heavy(), "the first listed replica")
+	}
+	for range 20 {
+		assert.Equal(t, 2, r.pick(10, command(gBound), &r.groups[gBound], 10), "others leave it alone")
 	}
+	r.nodes[2].pos = 9
+	assert.Equal(t, 1, r.pick(10, command(gBound), &r.groups[gBound], 10), "where another will do")
 	r.nodes[1].lat, r.nodes[1].done, r.nodes[1].lastGood, r.lat = 400, 100, 10, 0.1
-	c := command(gAny)
-	c.GiveUp = 22
-	assert.Equal(t, 2, r.Place(10, c).Node, "the next where it has no room")
+	assert.Equal(t, 0, heavy(), "the primary, whose log nothing stops, where it has no room")
+	r.nodes[1].unreached(10)
+	assert.Equal(t, 2, heavy(), "the next once it is out of reach")
 	short := testRouter(t, testSite())
 	var met [3]int
 	for range 40 {
-		a := short.Place(10, command(gAny))
-		if a.Verdict == Send {
-			met[a.Node]++
-			short.nodes[a.Node].out = 0
-		}
+		met[short.pick(10, command(gAny), &short.groups[gAny], 0)]++
 	}
 	assert.Positive(t, met[1]*met[2], "short ones are spread")
 }
