--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -949,13 +949,13 @@
 		g.work = math.Min(mean, g.work+drift*(mean-g.work))
 		g.batch, g.batched, g.weighedAt = 0, 0, now
 	case g.weighedAt == 0:
-		g.work = mean
+		g.work = (g.batch + priorWeight*testShare*g.Target) / (g.batched + priorWeight)
 	}
 	if !g.heavy {
 		r.heard++ // the first answers count alike, or the first alone would stand for minutes
 		w := math.Max(groupWeight, 1/r.heard)
 		r.base += w * (g.work - r.base)
-		r.lat += w * (r.asMean(g, o.Took) - r.lat)
+		r.lat += w * (math.Min(r.asMean(g, o.Took), mostStretch*r.base) - r.lat)
 		r.places += w * (float64(l.ahead+1) - r.places)
 	}
 	r.measure(g, n, l, o.Took)
