--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,6 +87,7 @@
 	sent                                float64 // fading number of dispatches
 	lastGood, trialAt, testAt, probedAt float64
 	budget, budgetAt                    float64 // dispatches that a cold node may still get
+	fullAt                              float64 // when it last turned a command away as full
 	shunned                             bool    // was doubted, and has not answered since
 	downAt, lostAt                      float64 // first and latest failed contact since its last answer, or +Inf
 }
@@ -94,7 +95,7 @@
 // blank is a node of which nothing is known, a reused row too.
 var blank = node{set: -1, goneAt: math.Inf(1), pos: math.Inf(-1), heardAt: math.Inf(-1), lag: math.Inf(1),
 	roleAt: math.Inf(-1), lastGood: math.Inf(-1), started: math.Inf(-1), downAt: math.Inf(1),
-	probedAt: math.Inf(-1), testAt: math.Inf(-1)}
+	probedAt: math.Inf(-1), testAt: math.Inf(-1), fullAt: math.Inf(-1)}
 
 // set is the nodes that hold the same data.
 type set struct {
@@ -648,7 +649,8 @@
 	// Many routers' free places are taken in turn: each rests for as long as the others need.
 	rest := pace * (float64(r.site.Routers)/freeOver - 1)
 	free := n.out < freeOut && n.out*r.site.Routers < freeOver && now-n.lastGood >= rest
-	return (pace-r.base <= room || free) && now+r.sojourn(at, g) <= r.horizon(c, g)
+	// A queue that was full has a place again when some of it is done.
+	return (pace-r.base <= room || free) && now-n.fullAt >= r.base && now+r.sojourn(at, g) <= r.horizon(c, g)
 }
 
 // pace foretells a node's answer time over all command groups. The other routers' part of the
@@ -896,6 +898,7 @@
 		}
 	case Full: // a failure like others: a host that turns all away at once would look idle and draw more
 		r.blame(now, n)
+		n.fullAt = now
 		r.measure(g, n, l, math.Max(o.Took, g.Target))
 	case Missed:
 		n.all++
