--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -25,6 +25,7 @@
 	Probes, ProbesFailed              uint64
 	Lists, ListsFailed                uint64
 	Reloads, ReloadsRefused           uint64 // of the configuration
+	Moves                             uint64 // to other settings
 	BlocksInUse                       uint64
 	LongestTurn                       float64 // seconds
 }
@@ -54,7 +55,7 @@
 		Uint64("unasked", c.Unasked).Uint64("spoilt", c.Spoilt).Uint64("positions_refused", c.PositionsRefused).
 		Uint64("members_known", c.MembersKnown).Uint64("member_rows", c.MemberRows).
 		Uint64("probes", c.Probes).Uint64("probes_failed", c.ProbesFailed).
-		Uint64("reloads", c.Reloads).Uint64("reloads_refused", c.ReloadsRefused).
+		Uint64("reloads", c.Reloads).Uint64("reloads_refused", c.ReloadsRefused).Uint64("moves", c.Moves).
 		Uint64("lists", c.Lists).Uint64("lists_failed", c.ListsFailed).
 		Uint64("blocks_in_use", c.BlocksInUse).Float64("longest_turn_ms", c.LongestTurn*1000)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -59,9 +59,7 @@
 	told *site.Told, c *count.Counters, log zerolog.Logger) (*Front, error) {
 	f := &Front{loop: l, limits: limits, blocks: blocks, core: o, count: c, log: log, groups: map[string]int{},
 		told: told, conns: map[*conn]bool{}}
-	for i, name := range told.Names {
-		f.groups[name] = i
-	}
+	f.Regroup()
 	f.resume = loop.NewTimer(func() { f.listen(true) })
 	var err error
 	if f.listener, err = l.Listen(at, limits.Backlog); err != nil {
@@ -73,6 +71,14 @@
 	return f, l.Add(f.listener, f, true, false)
 }
 
+// Regroup takes the command groups' names from the settings as they are now.
+func (f *Front) Regroup() {
+	clear(f.groups)
+	for i, name := range f.told.Names {
+		f.groups[name] = i
+	}
+}
+
 // Open is the number of client connections.
 func (f *Front) Open() int { return len(f.conns) }
 
--- /dev/null
+++ b/internal/router/carry.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"maps"
+	"math"
+)
+
+// Carry takes over from a router of the same process what still means the same under other settings, before
+// the first command: where members are, their states, roles and positions, when they started, what is doubted
+// or out of reach, what was spent on cold ones, and the sessions. What was learnt in terms of the old command
+// groups, traffic or routers (paces, work, shares, rates, how groups were served) starts afresh, and so does
+// what is out: the old router's dispatches end there.
+func (r *Router) Carry(now float64, from *Router) {
+	r.nodes = make([]node, len(from.nodes))
+	for i := range from.nodes {
+		n := from.nodes[i]
+		n.out, n.legs, n.unheard, n.sent = 0, 0, 0, 0
+		n.lat, n.places, n.done = 0, 0, 0
+		r.nodes[i] = n
+	}
+	r.sets = make([]set, len(from.sets))
+	for i, s := range from.sets {
+		s.nodes = append([]int(nil), s.nodes...)
+		r.sets[i] = s
+	}
+	r.young, r.old, r.turnedAt = maps.Clone(from.young), maps.Clone(from.old), now
+	r.following, r.followAt, r.followFailures = from.following, from.followAt, from.followFailures
+}
+
+// Heed takes over what another router of the process has just learnt of a command's session: its last commands
+// end there after the switch, and a read that is taken here must see what they wrote.
+func (r *Router) Heed(id uint64, set int, from *Router) {
+	told := from.session(id)
+	if id == 0 || set < 0 || set >= len(r.sets) || math.IsInf(max(told.token, told.seen), -1) {
+		return
+	}
+	s := r.session(id)
+	s.token, s.seen = max(s.token, told.token), max(s.seen, told.seen)
+	r.young[id] = s
+	r.sets[set].top = max(r.sets[set].top, s.token, s.seen)
+}
--- /dev/null
+++ b/internal/router/carry_test.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestCarryKeepsWhatStillMeansTheSame(t *testing.T) {
+	old := testRouter(t, testSite())
+	old.nodes[1].pos, old.nodes[1].lat, old.nodes[1].done, old.nodes[1].legs, old.nodes[1].unheard = 11, 40, 100, 3, 2
+	old.nodes[2].shunned, old.nodes[2].started, old.nodes[2].budget = true, 9, 5
+	old.Listed(10, []Listing{{Node: 0, State: Draining, Started: math.Inf(-1)}}, false, false)
+	old.young[9] = session{token: 10.5, seen: 10.7}
+	old.sets[0].floor, old.lat, old.warmRate = 9.5, 0.4, 50
+	s := testSite()
+	s.Groups = append(s.Groups[:1:1], s.Groups[gSession]) // other groups, in another order
+	r := New(s, 8)
+	r.Carry(12, old)
+	assert.Equal(t, 11.0, r.nodes[1].pos, "a position holds for good")
+	assert.Equal(t, RolePrimary, r.nodes[0].role)
+	assert.False(t, r.usable(&r.nodes[0]), "what was told of drains binds on")
+	assert.True(t, r.nodes[2].shunned, "a doubt stands until it answers")
+	assert.Equal(t, 9.0, r.nodes[2].started, "and a cold one is cold")
+	assert.Equal(t, 5.0, r.nodes[2].budget)
+	assert.True(t, r.following)
+	assert.Zero(t, r.nodes[1].lat+r.nodes[1].done, "paces were of other commands")
+	assert.Zero(t, r.nodes[1].legs+r.nodes[1].unheard, "what is out ends at the old one")
+	assert.Zero(t, r.lat+r.warmRate)
+	c := &Command{Group: 1, Customer: -1, Session: 9, Arrived: 12, GiveUp: 14}
+	assert.Equal(t, 1, r.pick(12, c, &r.groups[1], r.session(9).seen), "it covers what the session has seen")
+	r.admit(12, c, &r.groups[1])
+	assert.Equal(t, 10.7, c.need)
+	other := &Command{Group: 1, Customer: -1, Session: 4, Arrived: 12, GiveUp: 14}
+	r.admit(12, other, &r.groups[1])
+	assert.Equal(t, 9.5, other.need, "nor is the floor lost")
+	old.nodes[1].pos, old.sets[0].nodes[0] = 0, 7
+	assert.Equal(t, 11.0, r.nodes[1].pos, "nothing is shared")
+	assert.Equal(t, []int{0, 1, 2}, r.sets[0].nodes)
+}
+
+// A write in hand at the switch is answered at the old router: a read at the new one that did not hear of it
+// could be older.
+func TestReadAfterTheSwitchSeesAWriteThatEndedAtTheOldRouter(t *testing.T) {
+	old := testRouter(t, testSite())
+	w := command(gWrite)
+	a := old.Place(10, w)
+	assert.Equal(t, Send, a.Verdict)
+	r := New(testSite(), 8)
+	r.Carry(10.1, old)
+	old.After(10.2, w, Outcome{Ending: Answered, Took: 0.2, Over: true, Position: 10.15})
+	r.Heed(w.Session, w.Set, old)
+	read := command(gSession)
+	read.Arrived, read.GiveUp = 10.3, 12.3
+	r.admit(10.3, read, &r.groups[gSession])
+	assert.Equal(t, 10.15, read.need)
+	assert.Equal(t, 10.15, r.sets[0].top, "a floor that follows it once it is let go")
+	assert.Equal(t, -1, r.pick(10.3, read, &r.groups[gSession], read.need), "no replica is known to cover it")
+	r.Heed(77, 0, old)
+	assert.NotContains(t, r.young, uint64(77), "nothing was learnt of that one")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,7 +118,7 @@
 	sets                        []set
 	z, w                        uint32
 	heavy                       bool    // there are heavy groups
-	span, longest               float64 // the longest response target of what needs fresh data, and client timeout
+	span, longest               float64 // the longest target of what needs fresh data, and client timeout of all
 	fade                        float64 // over which records fade
 	gap                         float64 // between two looks at a node: the tightest bound or session target
 	lat                         float64 // fleet's mean answer time
@@ -236,9 +236,9 @@
 	r.followAt = now + gap*(1+r.draw())/2
 }
 
-// Probed takes in a probe's result. Only its report speaks for the node's data. An error is the answer of one that
-// runs, and silence tells less than a command that was answered meanwhile: where probes failed at hosts that served
-// as usual, these counted as out of reach, then as started anew, and none was tried again while the probes failed.
+// Probed takes in a probe's result. Only its report speaks for the node's data. An error is the answer of one
+// that runs, and silence tells less than a command that was answered meanwhile: where probes failed at hosts
+// that served, these counted as out of reach, then as started anew, and were not tried while probes failed.
 func (r *Router) Probed(now float64, at int, ending Ending, took, position float64, primary bool) {
 	n := &r.nodes[at]
 	if ending != Answered && ending != Errored && ending != Full {
@@ -440,7 +440,9 @@
 	r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
 	if len(r.spare) > 0 {
 		i := r.spare[r.site.Me%len(r.spare)]
-		if n := &r.nodes[i]; r.site.Reports && !r.site.Guarded && n.pos < c.need && now-math.Max(n.heardAt, n.probedAt) >= catchUp {
+		n := &r.nodes[i]
+		known := n.pos >= c.need || now-math.Max(n.heardAt, n.probedAt) < catchUp
+		if r.site.Reports && !r.site.Guarded && !known { // a guarded one tells by turning the read away
 			r.probe(now, i)
 		}
 	}
@@ -537,9 +539,9 @@
 	return r.spread(now, c, g)
 }
 
-// gather is the first listed replica that lets commands in, or -1. A heavy read can stop a replica's log while it
-// runs: spread evenly such reads kept all replicas behind. All routers know one order, so heavy reads meet there
-// and others, as long as another will do, do not. Harm: one replica is crowded, and of no use to fresh reads.
+// gather is the first listed replica within reach, or -1. A heavy read can stop a replica's log while it runs:
+// spread evenly such reads kept all replicas behind. All routers know one order, so heavy reads meet there and
+// others, as long as another will do, do not. Harm: one is crowded, and of no use to fresh reads.
 func (r *Router) gather(now float64, s int) int {
 	if p := r.primary(s); r.heavy {
 		for _, i := range r.sets[s].nodes {
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -20,6 +20,7 @@
 	Seed      uint64
 	Known     roster.List // as this router had it last
 	Told      Told
+	Move      bool // a running router takes these settings in
 	Limits    Limits
 }
 
@@ -122,6 +123,7 @@
 	} `json:"limits"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Move     bool            `json:"move"`
 }
 
 // Load reads the variables GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_CONFIG by way of env and the file that
@@ -173,7 +175,7 @@
 }
 
 func (f *file) check() (Start, error) {
-	s := Start{Name: f.Name}
+	s := Start{Name: f.Name, Move: f.Move}
 	var err error
 	if s.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return s, fmt.Errorf("listen: %w", err)
@@ -216,6 +218,18 @@
 	return s, nil
 }
 
+// Moves says that another start asks a running router to take its settings in, and that they differ. How the
+// list comes is part of how a router starts.
+func (s *Start) Moves(other *Start) bool {
+	return other.Move && s.Told.Ask == other.Told.Ask && !reflect.DeepEqual(s.Told, other.Told)
+}
+
+// Take takes another start's settings in, and what of the limits follows from them; memory and descriptors stay.
+func (s *Start) Take(other *Start) {
+	s.Told = other.Told
+	s.Limits = limits(int(s.Limits.Memory>>20), s.Limits.Sockets, &s.Told)
+}
+
 // Fixed names the keys in which another start differs and that only a restart takes in. The list that was
 // known last is none: it changes by itself.
 func (s *Start) Fixed(other *Start) []string {
@@ -225,7 +239,8 @@
 		same bool
 	}{
 		{"name", s.Name == other.Name}, {"listen", s.Listen == other.Listen}, {"seed", s.Seed == other.Seed},
-		{"limits", s.Limits == other.Limits}, {"settings", reflect.DeepEqual(s.Told, other.Told)},
+		{"limits", s.Limits.Memory == other.Limits.Memory && s.Limits.Sockets == other.Limits.Sockets},
+		{"settings", reflect.DeepEqual(s.Told, other.Told) || s.Moves(other)},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
--- a/service/service.go
+++ b/service/service.go
@@ -91,8 +91,9 @@
 }
 
 // Reload reads the configuration anew, by way of env as Load did, and moves the watch of the list to the
-// address that it names. All else stays as it was: other changes are logged and wait for a restart. What
-// cannot be read or is wrong is refused whole. It may be called from any goroutine.
+// address that it names. Where the file asks for it by its key move, changed settings hold for every command that
+// comes after; those in hand end under the earlier ones. All else stays as it was: other changes are logged and
+// wait for a restart. What cannot be read or is wrong is refused whole. It may be called from any goroutine.
 func (r *Router) Reload(env func(string) string) {
 	s, err := site.Reload(env)
 	r.loop.Post(func() {
@@ -102,6 +103,9 @@
 			return
 		}
 		r.count.Reloads++
+		if r.start.Moves(&s) {
+			r.move(&s)
+		}
 		if keys := r.start.Fixed(&s); len(keys) > 0 {
 			r.log.Warn().Strs("keys", keys).Msg("changed keys wait for a restart")
 		}
@@ -111,6 +115,26 @@
 	})
 }
 
+// move has other settings hold from here on.
+func (r *Router) move(s *Start) {
+	r.core.Settle(r.loop.Now()) // what was taken names its group by the earlier ones
+	before := r.count.TakenByGroup
+	taken := map[string]uint64{}
+	for i, name := range r.count.GroupNames {
+		taken[name] = before[i]
+	}
+	r.start.Take(s)
+	r.count.GroupNames = r.start.Told.Names
+	r.count.TakenByGroup = make([]uint64, len(r.count.GroupNames))
+	for i, name := range r.count.GroupNames {
+		r.count.TakenByGroup[i] = taken[name]
+	}
+	r.front.Regroup()
+	r.core.Move()
+	r.count.Moves++
+	r.log.Info().Int("in_hand", r.core.InHand()).Strs("groups", r.start.Told.Names).Msg("moved to other settings")
+}
+
 // LogCounters has the counters logged. It may be called from any goroutine.
 func (r *Router) LogCounters() { r.loop.Post(r.logCounters) }
 
