--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -283,7 +283,7 @@
 	if !ok {
 		set = -1
 	}
-	in.hand.Take(in.now, a.ID, router.Command{Group: a.Class, Set: set, Customer: a.Tenant,
+	in.hand.Take(in.now, a.ID, router.Command{Group: a.Class, Set: set,
 		Session: a.Session, Arrived: in.now, GiveUp: seconds(int64(a.Due - in.base)),
 		WriteAge: a.WriteAge / 1000, Repeat: a.Marks&repeatMark != 0})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -273,7 +273,7 @@
 	}
 	for _, c := range taken {
 		if !c.done {
-			o.hand.Take(now, c.id, router.Command{Group: c.Group, Set: c.Set, Customer: -1, Session: c.Session,
+			o.hand.Take(now, c.id, router.Command{Group: c.Group, Set: c.Set, Session: c.Session,
 				Arrived: now, GiveUp: c.GiveUp, WriteAge: c.WriteAge, Repeat: c.Repeat})
 		}
 	}
--- a/internal/router/carry.go
+++ b/internal/router/carry.go
@@ -27,8 +27,8 @@
 	r.following, r.followAt, r.followFailures = from.following, from.followAt, from.followFailures
 }
 
-// Heed takes over what another router of the process has just learnt of a command's session: its last commands
-// end there after the switch, and a read that is taken here must see what they wrote.
+// Heed takes over what another router of the process has just learnt of a command's session: its last
+// commands end there after the switch, and a read that is taken here must see what they wrote.
 func (r *Router) Heed(id uint64, set int, from *Router) {
 	told := from.session(id)
 	if id == 0 || set < 0 || set >= len(r.sets) || math.IsInf(max(told.token, told.seen), -1) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,8 +25,7 @@
 	blindShare  = 0.3     // more of it where targets bring fewer dispatches than
 	blindUnder  = 0.5     // this to a member: nothing is seen of its queue then
 	leaveShare  = 0.5     // of a group's clients leave before their time: then only their stay counts
-	overCut     = 0.2     // of its room that a command beyond its customer's share, or a repeat, has
-	shareDepth  = 4       // commands of a customer that may come at once within its share at one router
+	repeatCut   = 0.2     // of its room that a client's repeat has
 	memorySpan  = 4       // longest response targets over which a node's pace fades; its health does in one,
 	evidence    = 2       // or in the time of so many dispatches to it, where these are rare
 	quietAlone  = 8.0     // mean answer times, shared by the dispatches since the last answer, beyond one
@@ -107,9 +106,6 @@
 // session is a session's two positions.
 type session struct{ token, seen float64 }
 
-// share is what was left of a customer's share at a time.
-type share struct{ left, at float64 }
-
 // Router is one router's knowledge.
 type Router struct {
 	site                        Site
@@ -138,7 +134,6 @@
 	young, old               map[uint64]session
 	reads, spills            [spillSlots]float64
 	slotAt                   int64
-	customers                []share
 	following                bool
 	followAt, followFailures float64 // when the list may be asked for again; failures in a row
 	spare                    []int
@@ -174,7 +169,6 @@
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
 	r.fade = memorySpan * r.span
-	r.customers = slices.Repeat([]share{{left: shareDepth}}, len(s.Customers))
 	return r
 }
 
@@ -330,16 +324,6 @@
 			c.need = math.Max(c.need, c.Arrived-c.WriteAge)
 		}
 	}
-	if c.Customer >= 0 && c.Customer < len(r.customers) {
-		rate := r.site.Customers[c.Customer] / float64(r.site.Routers)
-		s := &r.customers[c.Customer]
-		s.left, s.at = math.Min(rate*r.span, s.left+rate*(now-s.at)), now
-		// Where clients bring their own routers a router carries what its client sends, no even part of a
-		// share: with few commands in a target nothing is told of the whole, and a third was called beyond it.
-		if c.over = s.left < 1 && rate*r.span >= shareDepth; !c.over {
-			s.left--
-		}
-	}
 }
 
 // session is what is remembered of a session, if anything.
@@ -539,9 +523,9 @@
 	return r.spread(now, c, g)
 }
 
-// gather is the first listed replica within reach, or -1. A heavy read can stop a replica's log while it runs:
-// spread evenly such reads kept all replicas behind. All routers know one order, so heavy reads meet there and
-// others, as long as another will do, do not. Harm: one is crowded, and of no use to fresh reads.
+// gather is the first listed replica within reach, or -1. A heavy read can stop a replica's log while it
+// runs: spread evenly such reads kept all replicas behind. All routers know one order, so heavy reads meet
+// there and others, as long as another will do, do not. Harm: one is crowded, and of no use to fresh reads.
 func (r *Router) gather(now float64, s int) int {
 	if p := r.primary(s); r.heavy {
 		for _, i := range r.sets[s].nodes {
@@ -641,10 +625,10 @@
 
 // fits sheds by benefit: a group may only join queues that leave room for what carries more
 // benefit for its work, and nothing is sent that comes too late anyway. A client's repeat has
-// spent its target on the first try, so it goes with what is beyond a share.
+// spent its target on the first try.
 func (r *Router) fits(now float64, c *Command, g *group, at int, room float64) bool {
-	if c.over || c.Repeat && g.left <= leaveShare {
-		room *= overCut
+	if c.Repeat && g.left <= leaveShare {
+		room *= repeatCut
 	}
 	n := &r.nodes[at]
 	pace := r.pace(n, n.out)
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -35,20 +35,19 @@
 // Site is what a router is told at start, in plain values: seconds and shares.
 type Site struct {
 	Groups      []CommandGroup
-	Customers   []float64 // rate inside each customer's share, over all routers
-	Whole       float64   // weight of the whole run in the site's goal
-	Worst       float64   // weight of the worst-served command group
-	Routers     int       // routers in this tier
-	Me          int       // this router's number among them
-	Zone        int       // where it runs; negative: not told
-	Tick        float64   // batches come at most this often
-	ZeroAt      float64   // the time from which positions count
-	Brought     bool      // session reads bring the age of the session's last write
-	Guarded     bool      // replicas check reads themselves
-	Reports     bool      // probes carry position and role
-	Ask         bool      // the list comes only when asked for
-	AskWithin   float64   // an unasked list counts as told after this
-	SoftRemoval bool      // being gone alone does not bind
+	Whole       float64 // weight of the whole run in the site's goal
+	Worst       float64 // weight of the worst-served command group
+	Routers     int     // routers in this tier
+	Me          int     // this router's number among them
+	Zone        int     // where it runs; negative: not told
+	Tick        float64 // batches come at most this often
+	ZeroAt      float64 // the time from which positions count
+	Brought     bool    // session reads bring the age of the session's last write
+	Guarded     bool    // replicas check reads themselves
+	Reports     bool    // probes carry position and role
+	Ask         bool    // the list comes only when asked for
+	AskWithin   float64 // an unasked list counts as told after this
+	SoftRemoval bool    // being gone alone does not bind
 	Cancel      bool
 	Probes      bool
 	Advice      bool    // clients are given a time to come back
@@ -99,7 +98,6 @@
 type Command struct {
 	Group    int
 	Set      int // negative: no listed set
-	Customer int
 	Session  uint64
 	Arrived  float64
 	GiveUp   float64 // the client stops waiting
@@ -111,7 +109,6 @@
 	runs   int     // dispatches that may have run and gave no answer
 	ranAt  float64 // when the first of those was sent
 	ranOn  int     // and where
-	over   bool    // beyond its customer's share
 	asked  bool    // seen by Place before
 	need   float64 // position that its data must cover
 	missed bool    // a replica turned it away as too far behind
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -40,9 +40,6 @@
 		Late   float64 `json:"lateWorth"`
 		Memory float64 `json:"memorySpanNs"`
 	} `json:"classes"`
-	Tenants []struct {
-		Rate float64 `json:"quotaRps"`
-	} `json:"tenants"`
 	Goal struct {
 		Whole float64 `json:"whole"`
 		Worst float64 `json:"worstClass"`
@@ -146,9 +143,6 @@
 		}
 		s.Groups = append(s.Groups, g)
 	}
-	for _, t := range p.Tenants {
-		s.Customers = append(s.Customers, t.Rate)
-	}
 	told := map[string]bool{}
 	for _, f := range p.Load.Fields {
 		told[f] = true
--- a/internal/systems/cold.go
+++ b/internal/systems/cold.go
@@ -131,7 +131,7 @@
 	now := r.world.now
 	for range reads {
 		r.last++
-		r.hand.Take(now, r.last, router.Command{Customer: -1, Arrived: now, GiveUp: now + 2*coldTick})
+		r.hand.Take(now, r.last, router.Command{Arrived: now, GiveUp: now + 2*coldTick})
 		r.settle()
 	}
 }
--- a/internal/systems/command.go
+++ b/internal/systems/command.go
@@ -390,7 +390,7 @@
 	x.taken = true
 	g := cmdGroups[x.group]
 	x.Effect, x.GiveUp, x.Memory, x.Needs = g.e, c.now+cmdTimeout, cmdMemory, math.Inf(-1)
-	in := router.Command{Group: x.group, Customer: -1, Session: 7, Arrived: c.now, GiveUp: x.GiveUp}
+	in := router.Command{Group: x.group, Session: 7, Arrived: c.now, GiveUp: x.GiveUp}
 	x.Seen = math.Inf(-1)
 	if g.g.Need == router.NeedSession {
 		x.Seen = c.seen
