--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -365,7 +365,7 @@
 		}
 	}
 	if position, primary := o.report(e.answer.Health); position >= 0 && o.told.OnAnswers {
-		o.router.Probed(now, e.d.Node, router.Answered, e.took, position, primary)
+		o.router.Probed(now, e.d.Node, e.ending, e.took, position, primary)
 	}
 	if e.ending == router.Answered && c != nil && !c.done {
 		o.count.Answered++
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -331,9 +331,12 @@
 		c.close()
 	}
 	if probe {
-		report := a.Report()
+		e, report := ending(&a), ""
+		if e == router.Answered { // a row that an error followed is none
+			report = a.Report()
+		}
 		a.Row.Free()
-		c.probed(ending(&a), now-since, report)
+		c.probed(e, now-since, report)
 		return
 	}
 	d.conn = nil
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/netip"
@@ -392,3 +393,18 @@
 	b.m.Probe(0)
 	assert.Equal(t, []router.Ending{router.Unreached}, b.probes, "no address is left")
 }
+
+// Once errors counted as answers, the report in a row that an error followed counted too: a position that no
+// member had told made a replica cover reads that it did not.
+func TestReportOfAProbeThatErredIsNone(t *testing.T) {
+	b := newBench(t)
+	b.m.Probe(0)
+	c := b.accept()
+	b.hear(c, 5)
+	whole := answer("x0=5,x1=1")
+	spoilt := append(bytes.Clone(whole[:len(whole)-6]), pg.Ready(pg.Error(nil, false, "XX000", "", ""))...) // ahead of ReadyForQuery
+	_, _ = c.Write(spoilt)
+	b.run(func() bool { return len(b.probes) == 1 })
+	assert.Equal(t, []router.Ending{router.Errored}, b.probes)
+	assert.Equal(t, []string{""}, b.reports)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -235,13 +235,16 @@
 // that served, these counted as out of reach, then as started anew, and were not tried while probes failed.
 func (r *Router) Probed(now float64, at int, ending Ending, took, position float64, primary bool) {
 	n := &r.nodes[at]
-	if ending != Answered && ending != Errored && ending != Full {
+	if ending != Answered && ending != Errored && ending != Full && ending != Missed {
 		if n.lastGood < now-took {
 			n.unreached(now)
 		}
 		return
 	}
 	r.revive(now, n)
+	if ending != Answered {
+		return
+	}
 	n.idle = max(1, n.idle) // the probe's connection stands
 	if position < 0 || !r.site.Reports {
 		return
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1028,3 +1028,15 @@
 		assert.Equal(t, guarded, len(r.wanted) == 0)
 	}
 }
+
+// The whole fleet's join day broke rule 5 once: a probe's report was taken though the probe had erred.
+func TestReportOfAProbeThatErredSaysNothingOfData(t *testing.T) {
+	r := testRouter(t, testSite())
+	for _, ending := range []Ending{Errored, Full, Missed, TimedOut, Broken} {
+		r.Probed(20, 1, ending, 0.01, 19, true)
+		assert.Equal(t, 10.0, r.nodes[1].pos)
+		assert.Equal(t, RoleReplica, r.nodes[1].role)
+	}
+	r.Probed(20, 1, Answered, 0.01, 19, false)
+	assert.InDelta(t, 19, r.nodes[1].pos, 1e-3)
+}
