--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -271,10 +271,11 @@
 	for _, c := range left {
 		o.leave(now, c)
 	}
+	arrived := o.loop.Clock() // a turn may be held up between its poll and its reading: never earlier than they came
 	for _, c := range taken {
 		if !c.done {
 			o.hand.Take(now, c.id, router.Command{Group: c.Group, Set: c.Set, Session: c.Session,
-				Arrived: now, GiveUp: c.GiveUp, WriteAge: c.WriteAge, Repeat: c.Repeat})
+				Arrived: arrived, GiveUp: c.GiveUp, WriteAge: c.WriteAge, Repeat: c.Repeat})
 		}
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -149,3 +150,23 @@
 	assert.False(t, o.Open(c.Name))
 	assert.Empty(t, o.ids)
 }
+
+// A router that was held up for 8 ms between its poll and its reading took a current read for one of the poll's time,
+// and a position told for that time covered it.
+func TestCurrentReadCountsFromItsReadingNotFromThePoll(t *testing.T) {
+	o, blocks := newCore(t)
+	o.told.Groups[0].Need, o.told.Reports, o.ahead = router.NeedCurrent, true, 1
+	o.begin()
+	o.list(0, listed{list: roster.List{Whole: true, Members: []roster.Member{{ID: "a", Cell: 7, State: roster.Ready}}}})
+	polled := o.loop.Now()
+	time.Sleep(20 * time.Millisecond)
+	at := float64(o.loop.StartedAt().UnixNano())/1e9 + polled + 0.005
+	o.Probed(0, router.Answered, 0, fmt.Sprintf("x0=%.6f,x1=0", at))
+	command(o, blocks, &said{})
+	o.hear(polled)
+	assert.Empty(t, o.sends, "a position of 5 ms after the poll does not cover what came 20 ms after it")
+	o.Probed(0, router.Answered, 0, fmt.Sprintf("x0=%.6f,x1=0", at+0.5))
+	o.hear(polled)
+	o.hand.Settle(polled + 0.05)
+	assert.Len(t, o.sends, 1, "one of later does")
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -62,6 +62,9 @@
 // Now is the time of this turn in seconds.
 func (l *Loop) Now() float64 { return l.now }
 
+// Clock reads the time anew: what was read in this turn may have come after its poll.
+func (l *Loop) Clock() float64 { return time.Since(l.start).Seconds() }
+
 // Since is the earliest time at which what is ready in this turn may have become so: bytes that came
 // while the last turn was at work have waited since that turn's poll.
 func (l *Loop) Since() float64 { return l.since }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -230,21 +230,22 @@
 	r.followAt = now + gap*(1+r.draw())/2
 }
 
-// Probed takes in a probe's result. Only its report speaks for the node's data. An error is the answer of one
-// that runs, and silence tells less than a command that was answered meanwhile: where probes failed at hosts
-// that served, these counted as out of reach, then as started anew, and were not tried while probes failed.
+// Probed takes in a probe's result. Only its report speaks for the node's data. An error tells nothing, and
+// silence less than a command that was answered meanwhile: where probes failed at hosts that served, these
+// counted as out of reach, then as started anew, and were not tried while probes failed.
 func (r *Router) Probed(now float64, at int, ending Ending, took, position float64, primary bool) {
 	n := &r.nodes[at]
-	if ending != Answered && ending != Errored && ending != Full && ending != Missed {
+	switch ending {
+	case Answered:
+	case Errored, Full, Missed:
+		return
+	default:
 		if n.lastGood < now-took {
 			n.unreached(now)
 		}
 		return
 	}
 	r.revive(now, n)
-	if ending != Answered {
-		return
-	}
 	n.idle = max(1, n.idle) // the probe's connection stands
 	if position < 0 || !r.site.Reports {
 		return
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1008,12 +1008,14 @@
 		r.Probed(now+0.01, 1, TimedOut, 0.25, -1, false)
 	}
 	n := &r.nodes[1]
-	assert.True(t, math.IsInf(n.downAt, 1), "an error is an answer, and commands were answered meanwhile")
+	assert.True(t, math.IsInf(n.downAt, 1), "commands were answered meanwhile")
 	r.Probed(20.5, 1, TimedOut, 0.25, -1, false)
 	assert.Equal(t, 20.5, n.downAt, "nothing answered since")
 	r.Probed(21.5, 1, TimedOut, 0.25, -1, false)
 	r.Probed(21.6, 1, Errored, 0.01, -1, false)
-	assert.Equal(t, 21.6, n.started, "away for longer than chance, it may have started anew")
+	assert.Equal(t, 20.5, n.downAt, "an error is no sign of health either")
+	r.Probed(21.7, 1, Answered, 0.01, -1, false)
+	assert.Equal(t, 21.7, n.started, "away for longer than chance, it may have started anew")
 }
 
 // Where replicas check reads a miss tells their position for nothing; probes for it cost a service point in thirty.
