--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,6 @@
 import (
 	"math"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -77,7 +76,6 @@
 	told    *site.Told
 	router  *router.Router
 	hand    *hand.Hand
-	past    []past // routers under earlier settings, until their last dispatch has ended
 	seed    uint64
 	members *member.Members
 	watch   *discovery.Watch
@@ -116,7 +114,8 @@
 	// the rounding stays under a millisecond.
 	o.zeroMs = float64(l.StartedAt().UnixMilli()) - s.Limits.Epoch*1000
 	o.seed = s.Seed
-	o.begin()
+	o.router = o.fresh()
+	o.hand = hand.New(o.router, o)
 	o.members = member.New(l, &s.Limits, blocks, o, c)
 	o.watch = discovery.New(l, &s.Limits, s.Discovery, s.Told.Ask, blocks, o, log)
 	o.lists = append(o.lists, listed{list: s.Known, cached: true})
@@ -126,32 +125,21 @@
 	return o
 }
 
-// past is a router under settings that hold no more. What it has in hand ends there.
-type past struct {
-	router *router.Router
-	hand   *hand.Hand
-}
-
-// begin starts a router under the settings.
-func (o *Core) begin() {
+// fresh is a router under the settings, which knows nothing yet.
+func (o *Core) fresh() *router.Router {
 	told := o.told.Site
 	told.ZeroAt = o.clock(o.zeroMs)
 	if told.Zone >= 0 && told.Zone < len(o.told.Zones) {
 		told.Zone = o.zones.At(o.told.Zones[told.Zone]) // zones keep their index when the settings' order changes
 	}
-	o.router = router.New(told, o.seed)
-	o.hand = hand.New(o.router, o)
+	return router.New(told, o.seed)
 }
 
 // Move has the settings as they are now decide about every command from here on. What has been taken must have
 // been settled under the earlier ones; it ends under them.
 func (o *Core) Move() {
-	was := past{o.router, o.hand}
-	o.begin()
-	o.router.Carry(o.loop.Now(), was.router)
-	if was.hand.Len() > 0 {
-		o.past = append(o.past, was)
-	}
+	o.router = o.fresh()
+	o.hand.Move(o.loop.Now(), o.router)
 }
 
 // clock turns a Unix time in milliseconds into the module's.
@@ -231,11 +219,6 @@
 	for {
 		o.hear(now)
 		next, keep := o.hand.Settle(now)
-		for _, p := range o.past { // only its commands count: the fleet is the present router's to look after
-			due, _ := p.hand.Settle(now)
-			next = min(next, due)
-		}
-		o.past = slices.DeleteFunc(o.past, func(p past) bool { return p.hand.Len() == 0 })
 		o.carry()
 		for _, node := range keep.Probe {
 			o.members.Probe(node)
@@ -300,10 +283,7 @@
 		facts = append(facts, router.Listing{Node: node, Set: o.sets.At(m.Cell), Zone: o.zones.At(m.Zone),
 			State: router.NodeState(m.State), Started: started, Primary: m.Primary})
 	}
-	o.router.Listed(now, facts, l.list.Whole || l.cached, l.cached)
-	for _, p := range o.past {
-		p.router.Listed(now, facts, l.list.Whole || l.cached, l.cached)
-	}
+	o.hand.Listed(now, facts, l.list.Whole || l.cached, l.cached)
 	if len(facts) == 0 { // a watch that brought nothing
 		return
 	}
@@ -360,11 +340,6 @@
 		said.Position = o.position(float64(e.answer.Position) / 1000)
 	}
 	o.hand.Ended(now, e.d.ID, said)
-	for _, p := range o.past {
-		if p.hand.Ended(now, e.d.ID, said); c != nil {
-			o.router.Heed(c.Session, c.Set, p.router)
-		}
-	}
 	if position, primary := o.report(e.answer.Health); position >= 0 && o.told.OnAnswers {
 		o.router.Probed(now, e.d.Node, e.ending, e.took, position, primary)
 	}
@@ -384,9 +359,6 @@
 	}
 	o.count.Left++
 	o.hand.Left(now, c.id)
-	for _, p := range o.past {
-		p.hand.Left(now, c.id)
-	}
 	if c.dispatch != nil && c.dispatch.Unsent() {
 		o.recalls = append(o.recalls, c.dispatch)
 	}
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 
 	"stoatdale.example/stoatdale/internal/router"
 )
@@ -21,14 +22,16 @@
 // command is one that still has an answer or a dispatch to come.
 type command struct {
 	router.Command
-	id    uint32
-	asked float64 // the next time to ask about it
-	done  bool
+	router *router.Router // that took it, and decides to its end
+	id     uint32
+	asked  float64 // the next time to ask about it
+	done   bool
 }
 
 // Hand is one router's commands.
 type Hand struct {
-	router *router.Router
+	router *router.Router   // takes what comes
+	past   []*router.Router // under earlier settings, with commands in hand
 	out    Out
 	cmds   map[uint32]*command
 	dues   dues
@@ -45,16 +48,32 @@
 
 // Take takes a command in. Ids never come twice.
 func (h *Hand) Take(now float64, id uint32, cmd router.Command) {
-	c := &command{id: id, Command: cmd}
+	c := &command{id: id, Command: cmd, router: h.router}
 	h.cmds[id] = c
-	h.carry(c, h.router.Place(now, &c.Command))
+	h.carry(c, c.router.Place(now, &c.Command))
+}
+
+// Move has a fresh router take what comes from here on, with what the present one has learnt that still means
+// the same. What is in hand ends by the present one.
+func (h *Hand) Move(now float64, fresh *router.Router) {
+	fresh.Carry(now, h.router)
+	h.past = append(h.past, h.router)
+	h.router = fresh
+}
+
+// Listed takes in the list, for whichever router has commands in hand.
+func (h *Hand) Listed(now float64, list []router.Listing, whole, cached bool) {
+	h.router.Listed(now, list, whole, cached)
+	for _, r := range h.past {
+		r.Listed(now, list, whole, cached)
+	}
 }
 
 // Left takes in that a command's client has gone.
 func (h *Hand) Left(now float64, id uint32) {
 	if c := h.cmds[id]; c != nil && !c.done {
 		c.done = true
-		h.carry(c, router.Answer{Verdict: router.Done, Recall: h.router.Left(now, &c.Command)})
+		h.carry(c, router.Answer{Verdict: router.Done, Recall: c.router.Left(now, &c.Command)})
 		h.release(c)
 	}
 }
@@ -66,7 +85,10 @@
 		return
 	}
 	o.Over = o.Over || c.done
-	a := h.router.After(now, &c.Command, o)
+	a := c.router.After(now, &c.Command, o)
+	if c.router != h.router {
+		h.router.Heed(&c.Command, c.router)
+	}
 	c.done = c.done || o.Over
 	h.carry(c, a)
 	h.release(c)
@@ -77,10 +99,18 @@
 	for len(h.dues) > 0 && h.dues[0].at <= now {
 		d := heap.Pop(&h.dues).(due)
 		if !d.cmd.done && d.cmd.asked == d.at {
-			h.carry(d.cmd, h.router.Place(now, &d.cmd.Command))
+			h.carry(d.cmd, d.cmd.router.Place(now, &d.cmd.Command))
 		}
 	}
-	pause, keep := h.router.Wait(now)
+	h.past = slices.DeleteFunc(h.past, func(r *router.Router) bool {
+		for _, c := range h.cmds {
+			if c.router == r {
+				return false
+			}
+		}
+		return true
+	})
+	pause, keep := h.router.Wait(now) // the fleet is the present one's to look after
 	next := now + pause
 	if len(h.dues) > 0 {
 		next = math.Min(next, h.dues[0].at)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -178,7 +178,7 @@
 	return nil
 }
 
-func (l *Loop) tick() { l.now = time.Since(l.start).Seconds() }
+func (l *Loop) tick() { l.now = l.Clock() }
 
 // pause is how long to wait, in whole milliseconds and never short of what is due.
 func (l *Loop) pause(next float64) int {
--- a/internal/router/carry.go
+++ b/internal/router/carry.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 )
 
 // Carry takes over from a router of the same process what still means the same under other settings, before
@@ -12,15 +13,14 @@
 // what is out: the old router's dispatches end there.
 func (r *Router) Carry(now float64, from *Router) {
 	r.nodes = make([]node, len(from.nodes))
-	for i := range from.nodes {
-		n := from.nodes[i]
+	for i, n := range from.nodes {
 		n.out, n.legs, n.unheard, n.sent = 0, 0, 0, 0
 		n.lat, n.places, n.done = 0, 0, 0
 		r.nodes[i] = n
 	}
 	r.sets = make([]set, len(from.sets))
 	for i, s := range from.sets {
-		s.nodes = append([]int(nil), s.nodes...)
+		s.nodes = slices.Clone(s.nodes)
 		r.sets[i] = s
 	}
 	r.young, r.old, r.turnedAt = maps.Clone(from.young), maps.Clone(from.old), now
@@ -29,13 +29,13 @@
 
 // Heed takes over what another router of the process has just learnt of a command's session: its last
 // commands end there after the switch, and a read that is taken here must see what they wrote.
-func (r *Router) Heed(id uint64, set int, from *Router) {
-	told := from.session(id)
-	if id == 0 || set < 0 || set >= len(r.sets) || math.IsInf(max(told.token, told.seen), -1) {
+func (r *Router) Heed(c *Command, from *Router) {
+	told := from.session(c.Session)
+	if math.IsInf(max(told.token, told.seen), -1) {
 		return
 	}
-	s := r.session(id)
+	s := r.session(c.Session)
 	s.token, s.seen = max(s.token, told.token), max(s.seen, told.seen)
-	r.young[id] = s
-	r.sets[set].top = max(r.sets[set].top, s.token, s.seen)
+	r.young[c.Session] = s
+	r.sets[c.Set].top = max(r.sets[c.Set].top, s.token, s.seen)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,7 @@
 	keepSpans   = 8       // longest client timeouts after which they, and members that are gone, are let go
 	probeShare  = 0.25    // probes a command for positions, and as many for signs of life, unasked
 	askShare    = 0.0625  // of the asking rule's span before a failed list call is repeated
+	workShare   = 0.25    // of its target that a group's work is taken for until answers tell
 	testShare   = 0.25    // of the longest target between two role tests of one member, of few routers
 	roundOff    = 1.0 / (1 << 23)
 )
@@ -63,7 +64,6 @@
 	room, primaryRoom float64 // queueing time that it may meet, by benefit
 	asked, answered   float64 // first tries, and answers within the target
 	weight            float64 // of its benefit: more for the worst-served
-	heavy             bool    // any age will do, and its target is beyond that of all that need fresh data
 }
 
 // node is what this router knows of a member.
@@ -113,7 +113,6 @@
 	nodes                       []node
 	sets                        []set
 	z, w                        uint32
-	heavy                       bool    // there are heavy groups
 	span, longest               float64 // the longest target of what needs fresh data, and client timeout of all
 	fade                        float64 // over which records fade
 	gap                         float64 // between two looks at a node: the tightest bound or session target
@@ -161,10 +160,6 @@
 	if r.span == 0 {
 		r.span = r.longest
 	}
-	for i := range r.groups {
-		r.groups[i].heavy = r.groups[i].Target > r.span
-		r.heavy = r.heavy || r.groups[i].heavy
-	}
 	r.site.Routers, r.site.Tries = max(1, s.Routers), max(1, s.Tries)
 	r.site.AskWithin = math.Max(s.AskWithin, r.span) // where it is not stated the list is not flooded
 	r.gap = math.Max(s.Tick, math.Min(r.gap, r.span))
@@ -423,9 +418,9 @@
 			}
 		}
 	}
-	at := r.gather(now, c.Set)
+	at := r.gather(c.Set)
 	r.narrow(func(i int) bool { return i != at })
-	r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
+	r.near()
 	if len(r.spare) > 0 {
 		i := r.spare[r.site.Me%len(r.spare)]
 		n := &r.nodes[i]
@@ -519,7 +514,7 @@
 			return trial
 		}
 	}
-	if at := r.gather(now, c.Set); g.heavy {
+	if at := r.gather(c.Set); r.heavy(g) {
 		r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return i != at })
 	} else {
 		r.narrow(func(i int) bool { return i != at })
@@ -530,17 +525,22 @@
 // gather is the first listed replica within reach, or -1. A heavy read can stop a replica's log while it
 // runs: spread evenly such reads kept all replicas behind. All routers know one order, so heavy reads meet
 // there and others, as long as another will do, do not. Harm: one is crowded, and of no use to fresh reads.
-func (r *Router) gather(now float64, s int) int {
-	if p := r.primary(s); r.heavy {
-		for _, i := range r.sets[s].nodes {
-			if n := &r.nodes[i]; i != p && r.usable(n) && math.IsInf(n.downAt, 1) {
-				return i
-			}
+func (r *Router) gather(s int) int {
+	if !slices.ContainsFunc(r.groups, func(g group) bool { return r.heavy(&g) }) {
+		return -1
+	}
+	p := r.primary(s)
+	for _, i := range r.sets[s].nodes {
+		if n := &r.nodes[i]; i != p && r.usable(n) && math.IsInf(n.downAt, 1) {
+			return i
 		}
 	}
 	return -1
 }
 
+// heavy says that any age will do for a group and that its target is beyond that of all that need fresh data.
+func (r *Router) heavy(g *group) bool { return g.Target > r.span }
+
 // lastHope says that a doubted node may be asked for want of a better one.
 func (r *Router) lastHope(now float64, n *node) bool {
 	return n.out == 0 && math.IsInf(n.downAt, 1) && now >= n.trialAt-(1-lastResort)*r.span
@@ -603,15 +603,24 @@
 	most := r.sojourn(best, g) + crowdSlack*g.Target
 	r.spare = slices.DeleteFunc(r.spare, func(i int) bool { return r.sojourn(i, g) > most })
 	// Hundreds of routers that each spread a few reads over all hosts open a connection for most of them, and
-	// hear of a position twice nowhere; nor does any see a slow way between zones before it is over, so
-	// they keep to their own. Harm: a router with several times the mean traffic leans on few.
-	if r.warmRate*r.span < blindUnder {
-		r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
+	// hear of a position twice nowhere. Harm: a router with several times the mean traffic leans on few.
+	if r.near(); r.blind() {
 		r.narrow(func(i int) bool { return r.nodes[i].idle > 0 })
 	}
 	return r.spare[r.chance(len(r.spare))]
 }
 
+// blind says that a target brings so few dispatches to a member that nothing is seen of it in time.
+func (r *Router) blind() bool { return r.warmRate*r.span < blindUnder }
+
+// near keeps a blind router to its own zone: a slow way to another is over before it has seen it. Harm: load
+// follows clients' zones until members there are foretold as crowded.
+func (r *Router) near() {
+	if r.blind() {
+		r.narrow(func(i int) bool { return r.nodes[i].zone == r.site.Zone })
+	}
+}
+
 // narrow keeps the spare nodes that are better, if any are.
 func (r *Router) narrow(better func(int) bool) {
 	if slices.ContainsFunc(r.spare, better) {
@@ -690,14 +699,14 @@
 // patience is how long a node may stay silent after a dispatch; lone lost answers do not count, nor silence
 // that costs little of the target: where answers are quick a long one among them doubted healthy nodes.
 func (r *Router) patience(n *node) float64 {
-	mean, unheard := cmp.Or(r.mean(n), testShare*r.span), float64(max(1, n.unheard))
+	mean, unheard := cmp.Or(r.mean(n), workShare*r.span), float64(max(1, n.unheard))
 	// A record of a second is no silence among answers of a tenth.
 	mean += math.Max(0, n.owed/unheard-cmp.Or(r.base, mean))
 	return math.Max(crowdSlack*r.span, mean*(1+quietAlone/unheard))
 }
 
 // workOf is a command group's work, or before its first answer what its target makes likely.
-func (r *Router) workOf(g *group) float64 { return cmp.Or(g.work, testShare*g.Target) }
+func (r *Router) workOf(g *group) float64 { return cmp.Or(g.work, workShare*g.Target) }
 
 func (r *Router) fadeNode(now float64, n *node) {
 	if now > n.fadedAt {
@@ -945,9 +954,9 @@
 		g.work = math.Min(mean, g.work+drift*(mean-g.work))
 		g.batch, g.batched, g.weighedAt = 0, 0, now
 	case g.weighedAt == 0:
-		g.work = (g.batch + priorWeight*testShare*g.Target) / (g.batched + priorWeight)
+		g.work = (g.batch + priorWeight*workShare*g.Target) / (g.batched + priorWeight)
 	}
-	if !g.heavy {
+	if !r.heavy(g) {
 		r.heard++ // the first answers count alike, or the first alone would stand for minutes
 		w := math.Max(groupWeight, 1/r.heard)
 		r.base += w * (g.work - r.base)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -28,7 +28,7 @@
 type params struct {
 	Routers int      `json:"balancers"`
 	Me      int      `json:"me"`
-	Zone    *int     `json:"zone"`
+	Zone    int      `json:"zone"`
 	Zones   []string `json:"zones"`
 	Classes []struct {
 		Name   string  `json:"name"`
@@ -98,7 +98,7 @@
 
 // Read decodes settings. Its errors name the key at fault; unknown keys are skipped.
 func Read(raw []byte) (Told, error) {
-	var p params
+	p := params{Zone: -1}
 	if err := json.Unmarshal(raw, &p); err != nil {
 		return Told{}, fmt.Errorf("settings: %w", err)
 	}
@@ -111,7 +111,7 @@
 	}
 	var err error
 	s := router.Site{
-		Routers: p.Routers, Me: p.Me, Zone: -1, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
+		Routers: p.Routers, Me: p.Me, Zone: p.Zone, Whole: p.Goal.Whole, Worst: p.Goal.Worst, Tick: p.Tick * nano,
 		Brought: word(&err, "familyInfo.tokens", p.Family.Tokens, brought),
 		Guarded: word(&err, "familyInfo.guards", p.Family.Guards, guarded),
 		Ask:     p.Discovery == "ask", AskWithin: p.Rules.AskWithin * nano, SoftRemoval: p.Rules.Soft,
@@ -121,9 +121,6 @@
 		ColdShare: p.Rules.Cold, WarmIn: p.Rules.Warm * nano, Overload: p.Rules.Overload,
 		FallSpan: p.Rules.Fall * nano,
 	}
-	if p.Zone != nil {
-		s.Zone = *p.Zone
-	}
 	var names []string
 	for i, c := range p.Classes {
 		names = append(names, c.Name)
--- a/service/service.go
+++ b/service/service.go
@@ -118,10 +118,9 @@
 // move has other settings hold from here on.
 func (r *Router) move(s *Start) {
 	r.core.Settle(r.loop.Now()) // what was taken names its group by the earlier ones
-	before := r.count.TakenByGroup
 	taken := map[string]uint64{}
 	for i, name := range r.count.GroupNames {
-		taken[name] = before[i]
+		taken[name] = r.count.TakenByGroup[i]
 	}
 	r.start.Take(s)
 	r.count.GroupNames = r.start.Told.Names
