--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -37,7 +37,8 @@
 	up         bool
 	in, out    buffer.Chain
 	reply      http1.Reply
-	generation int64 // -1: the whole list is wanted
+	until      float64 // when the reply has to be whole; 0: none has begun
+	generation int64   // -1: the whole list is wanted
 	pause      float64
 	timer      *loop.Timer
 	ended      bool
@@ -94,7 +95,7 @@
 	}
 	w.in.Free()
 	w.out.Free()
-	w.reply = http1.Reply{}
+	w.reply, w.until = http1.Reply{}, 0
 }
 
 // due is called when a call took too long or the pause before the next is over.
@@ -158,7 +159,13 @@
 }
 
 func (w *Watch) read() {
-	_, err := w.loop.Read(w.fd, &w.in, w.limits.Read)
+	got, err := w.loop.Read(w.fd, &w.in, w.limits.Read)
+	if now := w.loop.Now(); got > 0 { // a reply has begun: it must go on, and not for good
+		if w.until == 0 {
+			w.until = now + w.limits.Reply
+		}
+		w.loop.Set(w.timer, min(w.until, now+w.limits.Late))
+	}
 	whole, bad := w.reply.Take(&w.in, w.limits.Page, w.limits.Line)
 	whole = whole || err != nil && bad == nil && w.reply.End()
 	switch {
@@ -174,7 +181,7 @@
 // take hands a whole reply on and calls again at once.
 func (w *Watch) take(ended bool) {
 	reply := w.reply
-	w.reply = http1.Reply{}
+	w.reply, w.until = http1.Reply{}, 0
 	if reply.Status != 200 {
 		w.fail(fmt.Errorf("status %d", reply.Status))
 		return
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,7 +73,7 @@
 	}()
 	w.l, err = loop.New(16)
 	require.NoError(t, err)
-	limits := &site.Limits{Read: 1 << 16, Page: 1 << 16, Line: 1 << 10, Watch: 60, Late: 0.2, Pause: 0.01, LongPause: 0.02}
+	limits := &site.Limits{Read: 1 << 16, Page: 1 << 16, Line: 1 << 10, Watch: 60, Late: 0.2, Reply: 60, Pause: 0.01, LongPause: 0.02}
 	w.w = New(w.l, limits, netip.MustParseAddrPort(n.Addr().String()), onAsk, buffer.NewPool(16, 1000), w, zerolog.Nop())
 	return w
 }
@@ -122,6 +123,17 @@
 	}
 }
 
+// A reply that has begun and goes on for good, or stops, is given up long before the call's own time.
+func TestReplyThatNeverEndsCostsItsConnection(t *testing.T) {
+	begun := strings.SplitAfter(list(6, false), "{")[0]
+	for what, limits := range map[string]struct{ late, reply float64 }{"stops": {0.05, 60}, "goes on": {60, 0.05}} {
+		w := newWatcher(t, false, list(5, true), begun, list(7, true))
+		w.w.limits.Late, w.w.limits.Reply = limits.late, limits.reply
+		w.w.Ask()
+		assert.Equal(t, []string{"5 true", "failed", "7 true"}, w.run(t, 3), what)
+	}
+}
+
 func TestWatchThatMustBeAskedForEndsWithAFailure(t *testing.T) {
 	w := newWatcher(t, true, list(4, true), "", list(5, true))
 	w.w.Ask()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -22,6 +22,7 @@
 	OnAnswers bool     // answers hold reports, not only probes
 	ZeroNs    float64  // the time from which positions count, on the settings' clock
 	Idle      float64  // a member closes a connection that stood idle for so many seconds
+	Grace     float64  // after a member is told to drain or be gone nothing new goes to it beyond so many seconds; 0: not told
 }
 
 // params is the part of the settings that is read.
@@ -69,6 +70,7 @@
 	Rules struct {
 		AskWithin float64 `json:"askWithinNs"`
 		Soft      bool    `json:"softRemoval"`
+		Grace     float64 `json:"stopSendingWithinNs"`
 		Cold      float64 `json:"startCapacity"`
 		Warm      float64 `json:"rampTimeNs"`
 		Overload  float64 `json:"overloadFactor"`
@@ -146,7 +148,7 @@
 	}
 	s.Reports = p.Load.Source != "none" && told["x0"] && told["x1"]
 	return Told{Site: s, Names: names, Zones: p.Zones, Fields: p.Load.Fields, OnAnswers: p.Load.Source == "answers", ZeroNs: p.Family.Zero,
-		Idle: p.Limits.Idle * nano}, err
+		Idle: p.Limits.Idle * nano, Grace: p.Rules.Grace * nano}, err
 }
 
 // Fault is the first value in the settings that only a router on sockets cannot work with, or nil.
@@ -168,6 +170,7 @@
 		{"limits.mostTries", float64(t.Tries), true, math.Inf(1)}, {"me", float64(t.Me), false, math.Inf(1)},
 		{"zone", float64(t.Zone + 1), false, float64(len(t.Zones))},
 		{"tickNs", t.Tick, false, 1}, {"limits.maxRetryAfterNs", t.MaxAdvice, false, math.Inf(1)},
+		{"invariants.stopSendingWithinNs", t.Grace, false, math.Inf(1)},
 		{"invariants.startCapacity", t.ColdShare, false, 1}, {"invariants.rampTimeNs", t.WarmIn, true, math.Inf(1)},
 		{"invariants.overloadFactor", t.Overload, true, math.Inf(1)}, {"invariants.fallNs", t.FallSpan, true, math.Inf(1)},
 		{"scoreParts.whole", t.Whole, false, 1}, {"scoreParts.worstClass", t.Worst, false, 1},
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -93,6 +94,25 @@
 	}
 }
 
+// Whatever call or pause discovery's return meets is over well before what it has binds, under any settings; so is a
+// connection that was begun when a member was told to drain.
+func TestTimesOfTheListAndOfDialsFitTheGrace(t *testing.T) {
+	for _, grace := range []float64{0.05, 0.25, 0.5, 1, 2, 30} {
+		s, err := load(t, strings.Replace(config, `"overloadFactor"`, fmt.Sprintf(`"stopSendingWithinNs":%g,"overloadFactor"`, grace*1e9), 1), nil)
+		require.NoError(t, err)
+		l := s.Limits
+		assert.LessOrEqual(t, l.Late+l.LongPause, grace/2, "grace %g", grace)
+		assert.LessOrEqual(t, l.Dial, grace, "grace %g", grace)
+		assert.LessOrEqual(t, l.Late, 1.0)
+		assert.LessOrEqual(t, l.Pause, l.LongPause)
+	}
+	s, err := load(t, config, nil)
+	require.NoError(t, err, "not told")
+	assert.Equal(t, 1.0, s.Limits.Late)
+	_, err = load(t, strings.Replace(config, `"overloadFactor"`, `"stopSendingWithinNs":-1,"overloadFactor"`, 1), nil)
+	assert.ErrorContains(t, err, "invariants.stopSendingWithinNs")
+}
+
 func TestVariablesAndFileMustAgree(t *testing.T) {
 	_, err := load(t, config, map[string]string{"GW_LISTEN": "127.0.0.9:1"})
 	assert.ErrorContains(t, err, "GW_LISTEN")
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -64,10 +64,12 @@
 	Rest      float64 // that a member connection stands before it is used again; the reason stands in member
 	Ahead     float64 // that a member's position may lie in the future
 	Watch     float64 // that discovery may hold a call
-	Late      float64 // beyond which the call has failed
+	Late      float64 // that discovery may say nothing when it should, beyond which the call has failed
+	Reply     float64 // that a reply of discovery may take from its first byte to its last
 	Pause     float64 // before discovery is dialled again, doubled up to
 	LongPause float64 // this
 	Linger    float64 // that a router told to end goes on accepting
+	LastCall  float64 // after that, for clients that have not asked yet or are in the middle of a message
 	Farewell  float64 // that a client has to close a connection that was ended
 }
 
@@ -85,7 +87,9 @@
 	memberShare     = 3  // every third of the rest is for members
 	idleClients     = 8  // every eighth descriptor may be a client's between commands
 	idleShare       = 0.6
-	longestWait     = 10 // client timeouts of the deployment: what is longer is a mistake
+	lateShare       = 0.25  // of the settings' grace: a silent call to discovery,
+	pauseShare      = 0.125 // and the pause after it
+	longestWait     = 10    // client timeouts of the deployment: what is longer is a mistake
 )
 
 func limits(memoryMB, sockets int, told *Told) Limits {
@@ -95,6 +99,12 @@
 	for _, g := range told.Groups {
 		longest = max(longest, g.Timeout)
 	}
+	// What discovery has when it returns from a silence binds within the grace, whatever call or pause it meets: they
+	// have to be over well before. So has a connection that came up for a member that was told to drain meanwhile.
+	late, pause, dial := 1.0, 1.0, told.Dial
+	if told.Grace > 0 {
+		late, pause, dial = min(late, lateShare*told.Grace), min(pause, pauseShare*told.Grace), min(dial, told.Grace)
+	}
 	return Limits{
 		Memory: memory, Sockets: sockets,
 		Block: blockSize, Blocks: int(memory / blockShare / blockSize),
@@ -104,10 +114,10 @@
 		Unsent: longestText * largestValue,
 		Shared: rest, Clients: rest - rest/memberShare, Idles: sockets / idleClients, Members: rest / memberShare,
 		Epoch: 3600, Way: told.Tick, Wait: longestWait * longest,
-		First: 2, Whole: 2, Stall: 10, Quiet: 5, Mute: 0.01, Dial: told.Dial, Probe: told.Dial, Idle: idleShare * told.Idle,
+		First: 2, Whole: 2, Stall: 10, Quiet: 5, Mute: 0.01, Dial: dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Rest: told.Tick, Ahead: 1,
-		Watch: 5, Late: 1, Pause: 0.05, LongPause: 1,
-		Linger: 0.5, Farewell: 1,
+		Watch: 5, Late: late, Reply: 1, Pause: min(0.05, pause), LongPause: pause,
+		Linger: 0.5, LastCall: 0.15, Farewell: 1,
 	}
 }
 
