Clients that leave unread are seen at once; a router that ends says so to whom it never heard

At fault: loop.events asked for EPOLLRDHUP only together with EPOLLIN, and front.watch asks for neither while a client is not read. Now the end is always asked for, and told by a call of its own (loop.Leaver), which closes: level-triggered it would spin. A burst whose end stands behind it is not taken any more. Counter left_unsent: clients noticed gone with a command at no member. The end (SIGTERM): front.End closed connections accepted a moment before without a word, reset the backlog where descriptors were short, and swallowed a command that lay in the socket when its connection was ended. A message that was cut short by its time is looked for once more. The test of SIGTERM expected a connection that never asked to be ended without a word: it is told now, and one that had asked is still ended in silence; both are tested. explore: clients are seen to leave while they are not read.

--- a/cmd/stoatdale/main_test.go
+++ b/cmd/stoatdale/main_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -200,15 +201,25 @@
 
 // startLimited sets the limit of memory, in MB, too.
 func startLimited(t *testing.T, sockets, memory int, probes bool, instances ...string) *rig {
+	return startMore(t, map[string]any{"limits": map[string]any{"memory_mb": memory, "sockets": sockets}, "settings": settings(probes)}, 0, instances...)
+}
+
+// startMore sets keys of the configuration, and a grace in nanoseconds if it is not 0.
+func startMore(t *testing.T, more map[string]any, grace float64, instances ...string) *rig {
 	r := &rig{t: t, log: make(chan string, 10000), discovery: newDiscovery(t, strings.Join(instances, ","))}
-	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": r.discovery.at,
-		"seed": "1f", "limits": map[string]any{"memory_mb": memory, "sockets": sockets}, "settings": settings(probes),
-		"known": json.RawMessage(`{"generation":0,"reset":true,"instances":[` + strings.Join(instances, ",") + "]}")})
+	keys := map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": r.discovery.at, "seed": "1f",
+		"limits": map[string]any{"memory_mb": 48, "sockets": 256}, "settings": settings(false),
+		"known": json.RawMessage(`{"generation":0,"reset":true,"instances":[` + strings.Join(instances, ",") + "]}")}
+	maps.Copy(keys, more)
+	if grace > 0 {
+		keys["settings"].(map[string]any)["invariants"].(map[string]any)["stopSendingWithinNs"] = grace
+	}
+	config, err := json.Marshal(keys)
 	require.NoError(t, err)
 	r.path = filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(r.path, config, 0o600))
 	r.cmd = exec.Command(program)
-	r.cmd.Env = []string{"GW_CONFIG=" + r.path, "GW_DISCOVERY=" + r.discovery.at}
+	r.cmd.Env = []string{"GW_CONFIG=" + r.path, "GW_DISCOVERY=" + fmt.Sprint(keys["discovery"])}
 	out, err := r.cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, r.cmd.Start())
@@ -550,7 +561,8 @@
 	hold := make(chan struct{})
 	b := newMember(t, func(q string) []byte { <-hold; return says("on")(q) })
 	r := start(t, entry(b, "b", "ready", "on"))
-	c, idle := r.client(), r.client()
+	c, idle, mute := r.client(), r.client(), r.client()
+	assert.Equal(t, "EMPTY", idle.ask(""))
 	c.send(pg.Query(nil, look("k")))
 	next(t, b.asked)
 	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
@@ -558,11 +570,13 @@
 	late := r.client() // it goes on accepting for a while
 	assert.Equal(t, "EMPTY", late.ask(""))
 	assert.Equal(t, " END", idle.reply(), "connections between commands are ended")
+	assert.Equal(t, pg.CodeEnding+" END", mute.reply(), "one that never asked hears that it may ask elsewhere")
 	close(hold)
 	assert.Equal(t, "value of k", c.reply())
 	assert.Equal(t, " END", c.reply())
 	_ = c.Close()
 	_ = idle.Close()
+	_ = mute.Close()
 	_ = late.Close()
 	assert.Contains(t, r.logged(`"message":"counters"`), `"answered":1`)
 	assert.NoError(t, r.cmd.Wait())
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,7 +96,7 @@
 	lists   []listed
 	probes  []probed
 	ends    []outcome
-	left    []*Command
+	left    [][]*Command // by client
 	taken   []*Command
 	recalls []*member.Dispatch
 	sends   []*member.Dispatch
@@ -170,8 +170,8 @@
 	o.count.TakenByGroup[c.Group]++
 }
 
-// Left takes in that a command's client has gone.
-func (o *Core) Left(c *Command) { o.left = append(o.left, c) }
+// Left takes in that the client of these commands has gone.
+func (o *Core) Left(cs []*Command) { o.left = append(o.left, cs) }
 
 // InHand is the number of commands without a final answer.
 func (o *Core) InHand() int { return len(o.cmds) }
@@ -251,8 +251,14 @@
 	for i := range ends {
 		o.end(now, &ends[i])
 	}
-	for _, c := range left {
-		o.leave(now, c)
+	for _, cs := range left {
+		unsent := false
+		for _, c := range cs {
+			unsent = o.leave(now, c) || unsent
+		}
+		if unsent {
+			o.count.LeftUnsent++
+		}
 	}
 	arrived := o.loop.Clock() // a turn may be held up between its poll and its reading: never earlier than they came
 	for _, c := range taken {
@@ -352,17 +358,18 @@
 	e.answer.Row.Free()
 }
 
-// leave takes in that a client has gone. What was not yet sent for it never is.
-func (o *Core) leave(now float64, c *Command) {
+// leave takes in that a client has gone. What was not yet sent for it never is; it says whether there was such.
+func (o *Core) leave(now float64, c *Command) (unsent bool) {
 	if c.done {
-		return
+		return false
 	}
 	o.count.Left++
 	o.hand.Left(now, c.id)
-	if c.dispatch != nil && c.dispatch.Unsent() {
+	if unsent = c.dispatch == nil || c.dispatch.Unsent(); unsent && c.dispatch != nil {
 		o.recalls = append(o.recalls, c.dispatch)
 	}
 	o.finish(c)
+	return unsent
 }
 
 // finish forgets a command that has had its final answer.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -75,7 +75,7 @@
 	o, blocks := newCore(t)
 	var s said
 	c := command(o, blocks, &s)
-	o.Left(c)
+	o.Left([]*Command{c})
 	o.Settle(0.1)
 	assert.Empty(t, s)
 	assert.Zero(t, o.count.Dispatches)
@@ -89,7 +89,7 @@
 	c := command(o, blocks, &s)
 	o.hear(0.1)
 	require.Len(t, o.sends, 1)
-	o.Left(c) // before the dispatch was carried out
+	o.Left([]*Command{c}) // before the dispatch was carried out
 	o.hear(0.1)
 	o.carry()
 	assert.Zero(t, o.count.Dispatches)
@@ -145,7 +145,7 @@
 	var s said
 	c := command(o, blocks, &s)
 	assert.True(t, o.Open(c.Name))
-	o.Left(c)
+	o.Left([]*Command{c})
 	o.Settle(0.1)
 	assert.False(t, o.Open(c.Name))
 	assert.Empty(t, o.ids)
--- a/internal/count/count.go
+++ b/internal/count/count.go
@@ -13,6 +13,7 @@
 	TakenByGroup                      []uint64
 	GroupNames                        []string
 	Answered, Throttled, Failed, Left uint64
+	LeftUnsent                        uint64 // clients that were noticed gone with a command that was at no member
 	InHand                            uint64
 	Dispatches, Recalls               uint64
 	Outcomes                          [9]uint64 // by router.Ending
@@ -48,7 +49,7 @@
 		Uint64("stalled", c.Stalled).
 		Uint64("taken", c.Taken).Dict("taken_by_group", groups).
 		Uint64("answered", c.Answered).Uint64("throttled", c.Throttled).Uint64("failed", c.Failed).
-		Uint64("left", c.Left).Uint64("in_hand", c.InHand).
+		Uint64("left", c.Left).Uint64("left_unsent", c.LeftUnsent).Uint64("in_hand", c.InHand).
 		Uint64("dispatches", c.Dispatches).Uint64("recalls", c.Recalls).Dict("outcomes", ends).
 		Uint64("dialled", c.Dialled).Uint64("dials_failed", c.DialsFailed).
 		Uint64("members_open", c.MembersOpen).Uint64("idle_closed", c.IdleClosed).
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,7 +26,7 @@
 	Set(cluster int) (int, bool)
 	Open(name string) bool
 	Take(c *core.Command)
-	Left(c *core.Command)
+	Left(cs []*core.Command) // the client of these has gone
 	MakeRoom() bool
 	Age(unix float64) float64
 }
@@ -51,7 +51,10 @@
 	parting, mute, idle list.List
 	waiting             []*conn // not read for want of buffers
 	more                []*conn // with messages left for the next turn
-	ending              bool
+	// The end: it stops listening, and when the last call is over nothing more is read.
+	ending, over bool
+	lastCall     float64 // when that is; 0: not told to end
+	end          *loop.Timer
 }
 
 // Listen opens a front on one address.
@@ -61,6 +64,7 @@
 		told: told, conns: map[*conn]bool{}}
 	f.Regroup()
 	f.resume = loop.NewTimer(func() { f.listen(true) })
+	f.end = loop.NewTimer(f.endOn)
 	var err error
 	if f.listener, err = l.Listen(at, limits.Backlog); err != nil {
 		return nil, err
@@ -182,16 +186,34 @@
 	return len(f.more) > 0
 }
 
-// End stops listening once what waits to be accepted is taken in, and ends connections between commands.
+// End stops listening once what waits to be accepted is taken in, and ends connections between commands. Who came
+// late, or is in the middle of a message, has until the last call to say what it came for.
 func (f *Front) End() {
-	if f.ending {
+	if f.lastCall > 0 {
 		return
 	}
-	f.accept(f.limits.Backlog)
-	f.ending = true
-	f.loop.Unset(f.resume)
-	f.loop.Close(f.listener)
-	f.listener = -1
+	f.lastCall = f.loop.Now() + f.limits.LastCall
+	f.endOn()
+}
+
+// endOn goes on with the end. Where all descriptors are taken those that are spared make room in a moment: a
+// listener that is closed resets whom it has not accepted.
+func (f *Front) endOn() {
+	now := f.loop.Now()
+	if !f.ending {
+		f.accept(f.limits.Backlog)
+		if f.loop.Waiting(f.listener) && now < f.lastCall {
+			f.loop.Set(f.end, math.Min(now+f.limits.Mute, f.lastCall))
+			return
+		}
+		f.ending = true
+		f.loop.Unset(f.resume)
+		f.loop.Close(f.listener)
+		f.listener = -1
+	}
+	if f.over = now >= f.lastCall; !f.over && len(f.conns) > 0 {
+		f.loop.Set(f.end, f.lastCall)
+	}
 	for c := range f.conns {
 		c.step()
 	}
@@ -250,6 +272,9 @@
 	timer    *loop.Timer
 }
 
+// Left implements loop.Leaver. What the client asked for and has not heard, or what was not read of it, nobody waits for.
+func (c *conn) Left() { c.close() }
+
 // Ready implements loop.Handler.
 func (c *conn) Ready(readable, writable bool) {
 	if writable && c.out.Len() > 0 {
@@ -306,9 +331,19 @@
 	if c.state == closed {
 		return
 	}
-	if len(c.slots) == 0 && c.out.Len() == 0 && c.state != parting &&
-		(c.last || c.f.ending && c.in.Len() == 0) {
-		c.part()
+	if len(c.slots) == 0 && c.out.Len() == 0 && c.state != parting {
+		switch {
+		case c.last:
+			c.part()
+		case c.f.over && !c.left && (!c.asked || c.in.Len() > 0): // it was about to ask: elsewhere it may
+			c.farewell(pg.CodeEnding, "the router is ending")
+			c.step()
+			return
+		case c.f.over && !c.left,
+			// What waits to be read was asked in time: it is read next.
+			c.f.ending && c.asked && c.in.Len() == 0 && c.f.loop.Quiet(c.fd):
+			c.part()
+		}
 	}
 	c.watch()
 }
@@ -321,7 +356,7 @@
 // watch sets the descriptor, the timer and the place among those that may make room by what the connection
 // does.
 func (c *conn) watch() {
-	reads := !c.paused && !c.left && !c.last && !c.full() || c.state == parting
+	reads := !c.paused && !c.left && !c.last && !c.full() && !c.f.over || c.state == parting
 	if !reads && !c.held {
 		c.held, c.since = true, c.f.loop.Now()
 	}
@@ -403,12 +438,12 @@
 // due ends a client whose time is over: with an error if it began a message and has not finished it.
 func (c *conn) due() {
 	switch {
+	case (c.phase == asking || c.phase == amid || c.phase == between) && !c.paused && !c.f.loop.Quiet(c.fd):
+		c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Pause) // it is asking just now
 	case (c.phase == asking || c.phase == amid) && c.in.Len() > 0:
 		c.f.count.CutShort++
 		c.fatal(pg.CodeProtocol, "a message was not whole in time")
 		c.step()
-	case (c.phase == asking || c.phase == between) && !c.f.loop.Quiet(c.fd): // it is asking just now
-		c.f.loop.Set(c.timer, c.f.loop.Now()+c.f.limits.Pause)
 	default:
 		switch c.phase {
 		case asking:
@@ -558,6 +593,11 @@
 // fatal says what is wrong and ends the connection after the answers that are owed.
 func (c *conn) fatal(code, message string) {
 	c.f.count.BadInput++
+	c.farewell(code, message)
+}
+
+// farewell is the last that is said, behind the answers that are owed.
+func (c *conn) farewell(code, message string) {
 	c.last = true
 	c.in.Free()
 	c.say(pg.Error(nil, true, code, message, ""))
@@ -649,16 +689,22 @@
 	}
 	c.state = closed
 	c.unqueue()
-	delete(c.f.conns, c)
+	if delete(c.f.conns, c); c.f.ending && len(c.f.conns) == 0 {
+		c.f.loop.Unset(c.f.end)
+	}
 	c.f.loop.Unset(c.timer)
 	c.f.loop.Close(c.fd)
 	c.in.Free()
 	c.out.Free()
+	var left []*core.Command
 	for _, s := range c.slots {
 		if s.cmd != nil && !s.own {
-			c.f.core.Left(s.cmd)
+			left = append(left, s.cmd)
 		}
 		s.out.Free()
 	}
+	if len(left) > 0 {
+		c.f.core.Left(left)
+	}
 	c.slots = nil
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,31 +30,40 @@
 	l     *loop.Loop
 	core  *core.Core
 	count count.Counters
+
+	node   net.Listener // the member's
+	member roster.Member
+	blocks *buffer.Pool
 }
 
 func newDesk(t *testing.T, change func(*site.Limits)) *desk {
-	mute, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = mute.Close() })
-	d := &desk{t: t, count: count.Counters{TakenByGroup: make([]uint64, 2)}}
+	mute := func() net.Listener {
+		n, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = n.Close() })
+		return n
+	}
+	d := &desk{t: t, count: count.Counters{TakenByGroup: make([]uint64, 2)}, node: mute()}
+	var err error
 	d.l, err = loop.New(16)
 	require.NoError(t, err)
-	at := netip.MustParseAddrPort(mute.Addr().String())
-	s := &site.Start{Known: roster.List{Whole: true, Members: []roster.Member{{ID: "a", At: at, Cell: 2, State: roster.Ready, Primary: true}}}}
+	d.member = roster.Member{ID: "a", At: netip.MustParseAddrPort(d.node.Addr().String()), Cell: 2, State: roster.Ready, Primary: true}
+	s := &site.Start{Known: roster.List{Whole: true, Members: []roster.Member{d.member}}}
 	group := router.CommandGroup{Need: router.NeedAny, Target: 500, Timeout: 500, Benefit: 1}
 	keyed := router.CommandGroup{Need: router.NeedWrite, Effect: router.Keyed, Target: 500, Timeout: 500, Benefit: 1}
 	s.Told.Site = router.Site{Groups: []router.CommandGroup{group, keyed}, Routers: 1, Tries: 4, Tick: 0.005, Ask: true, WarmIn: 1, FallSpan: 1}
 	s.Told.Names = []string{"look", "order"}
-	s.Discovery = at
+	s.Discovery = netip.MustParseAddrPort(mute().Addr().String())
 	s.Limits = site.Limits{Epoch: 3600, Members: 8, Clients: 8, Shared: 64, Dial: 100, Probe: 100, Late: 100, Watch: 1, Pause: 100,
 		LongPause: 100, Read: 1 << 16, Block: 4096, Answer: 1 << 17, Note: 1 << 10, Message: 1 << 16, Packet: 1000, Comment: 1 << 10,
 		Accepts: 8, Backlog: 64, Messages: 100, Pipeline: 8, Faults: 100, Away: 1 << 20, Unsent: 1 << 20, Wait: 1000, First: 100, Whole: 100,
 		Stall: 100, Idles: 100, Quiet: 100, Farewell: 100, Idle: 100}
+	s.Limits.Blocks = 1 << 20
 	change(&s.Limits)
-	blocks := buffer.NewPool(4096, 1<<20)
-	d.core = core.New(s, d.l, blocks, &d.count, zerolog.Nop())
+	d.blocks = buffer.NewPool(4096, s.Limits.Blocks)
+	d.core = core.New(s, d.l, d.blocks, &d.count, zerolog.Nop())
 	d.core.Settle(0)
-	d.f, err = Listen(netip.MustParseAddrPort("127.0.0.1:0"), d.l, &s.Limits, blocks, d.core, &s.Told, &d.count, zerolog.Nop())
+	d.f, err = Listen(netip.MustParseAddrPort("127.0.0.1:0"), d.l, &s.Limits, d.blocks, d.core, &s.Told, &d.count, zerolog.Nop())
 	require.NoError(t, err)
 	return d
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -18,6 +18,14 @@
 	Ready(readable, writable bool)
 }
 
+// Leaver is a Handler that is told of a hang-up by a call of its own, in place of Ready: also where it is watched for
+// nothing, and with bytes that were not read still ahead of the end. It has to close the descriptor then, which
+// would be ready for good.
+type Leaver interface {
+	Handler
+	Left()
+}
+
 type watched struct {
 	handler     Handler
 	gen         int32
@@ -75,10 +83,12 @@
 // Longest is the longest turn so far, in seconds.
 func (l *Loop) Longest() float64 { return l.longest }
 
+// events asks for the other side's end always: epoll would tell of it only together with bytes to read, and who is
+// not read at present may leave all the same.
 func events(read, write bool) uint32 {
-	var e uint32
+	e := uint32(unix.EPOLLRDHUP)
 	if read {
-		e |= unix.EPOLLIN | unix.EPOLLRDHUP
+		e |= unix.EPOLLIN
 	}
 	if write {
 		e |= unix.EPOLLOUT
@@ -165,6 +175,10 @@
 		for _, e := range ready[:max(0, n)] {
 			if w := l.files[int(e.Fd)]; w != nil && w.gen == e.Pad {
 				bad := e.Events&(unix.EPOLLERR|unix.EPOLLHUP) != 0
+				if h, ok := w.handler.(Leaver); ok && (bad || e.Events&unix.EPOLLRDHUP != 0) {
+					h.Left()
+					continue
+				}
 				w.handler.Ready(bad || e.Events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0,
 					bad || e.Events&unix.EPOLLOUT != 0)
 			}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -152,7 +152,7 @@
 }
 
 // Unsent says that a dispatch's last byte has not been written.
-func (d *Dispatch) Unsent() bool { return d.conn != nil && d.conn.state != waiting }
+func (d *Dispatch) Unsent() bool { return d.conn == nil || d.conn.state != waiting }
 
 // take finds the standing connection that was used last and has rested, or dials. Those that have ended or hold
 // bytes that nobody asked for are dropped, since what is written to them may count as run, or be answered with
--- a/internal/pg/pg.go
+++ b/internal/pg/pg.go
@@ -24,6 +24,7 @@
 	CodeNotPrimary  = "25006" // read only
 	CodeBehind      = "72000" // snapshot too old
 	CodeFailed      = "58000" // system error
+	CodeEnding      = "57P03" // cannot connect now: trying again does no harm
 	CodeProtocol    = "08P01" // protocol violation
 	CodeSyntax      = "42601"
 	CodeValue       = "22023" // invalid parameter value
--- a/internal/systems/client.go
+++ b/internal/systems/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 
@@ -18,6 +19,7 @@
 	"stoatdale.example/stoatdale/internal/explore"
 	"stoatdale.example/stoatdale/internal/front"
 	"stoatdale.example/stoatdale/internal/lab/verdict"
+	"stoatdale.example/stoatdale/internal/loop"
 	"stoatdale.example/stoatdale/internal/pg"
 	"stoatdale.example/stoatdale/internal/router"
 	"stoatdale.example/stoatdale/internal/site"
@@ -80,7 +82,7 @@
 	s.wire.keepOpen, s.wire.loseByte = fault == "unclosed", fault == "lost-byte"
 	limits := &site.Limits{Block: 512, Message: 4096, Packet: 1000, Comment: 512, Read: 1 << 16, Accepts: 4, Backlog: 4, Messages: 8, Pipeline: 4,
 		Faults: 3, Away: 1 << 16, Unsent: 1 << 16, Shared: 99, Clients: 9, Idles: 9, Wait: 10, Way: 0.005, First: 2, Whole: 2, Stall: 3, Quiet: 5,
-		Mute: 0.01, Farewell: 1, Pause: 0.5}
+		Mute: 0.01, Farewell: 1, Pause: 0.5, LastCall: 0.15}
 	told := &site.Told{Names: []string{"look"}}
 	told.Groups = []router.CommandGroup{{Timeout: 1, Target: 0.5}}
 	var err error
@@ -131,12 +133,12 @@
 func (s clientCore) Take(c *core.Command) {
 	s.taken = append(s.taken, &taken{c: c, name: c.Name, open: true})
 }
-func (s clientCore) Left(c *core.Command) {
+func (s clientCore) Left(cs []*core.Command) {
 	for _, t := range s.taken {
-		if t.c == c && s.fault != "unheard" {
+		if slices.Contains(cs, t.c) && s.fault != "unheard" {
 			s.check.Ended(t.name)
 			t.open = s.fault == "left-twice"
-			c.Text.Free()
+			t.c.Text.Free()
 		}
 	}
 }
@@ -238,7 +240,7 @@
 		if k == nil || k.handler == nil {
 			continue
 		}
-		if len(k.in) > 0 || k.ended {
+		if len(k.in) > 0 && k.wantRead || k.ended {
 			out = append(out, fmt.Sprintf("see %d", i))
 		}
 		if k.wantWrite && k.room == 0 {
@@ -326,6 +328,10 @@
 		}
 		k.in = append(k.in, m...)
 	case "see":
+		if left, ok := k.handler.(loop.Leaver); ok && k.ended {
+			left.Left()
+			break
+		}
 		k.handler.Ready(true, false)
 	case "stall":
 		s.faults++
--- a/internal/systems/wire.go
+++ b/internal/systems/wire.go
@@ -35,6 +35,7 @@
 	in        []byte // arrived, and not yet read
 	sent      []byte // written
 	room      int    // that may still be written
+	wantRead  bool
 	wantWrite bool
 }
 
@@ -59,14 +60,14 @@
 	delete(w.socks, fd)
 }
 func (w *wire) Quiet(fd int) bool { s := w.socks[fd]; return w.deafQuiet || !s.ended && len(s.in) == 0 }
-func (w *wire) Want(fd int, _, write bool) {
+func (w *wire) Want(fd int, read, write bool) {
 	if s := w.socks[fd]; s != nil {
-		s.wantWrite = write
+		s.wantRead, s.wantWrite = read, write
 	}
 }
 
-func (w *wire) Add(fd int, h loop.Handler, _, write bool) error {
-	w.socks[fd] = &sock{handler: h, wantWrite: write}
+func (w *wire) Add(fd int, h loop.Handler, read, write bool) error {
+	w.socks[fd] = &sock{handler: h, wantRead: read, wantWrite: write}
 	return nil
 }
 
