--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -48,6 +48,7 @@
 type host struct {
 	at   netip.AddrPort
 	idle []*conn // the one used last comes last
+	life int     // how many members the row had before
 }
 
 // New returns Members without any.
@@ -65,7 +66,7 @@
 // they carry.
 func (m *Members) Forget(node int) {
 	m.hosts[node].hangUp()
-	m.hosts[node] = host{}
+	m.hosts[node] = host{life: m.hosts[node].life + 1}
 }
 
 // Place sets a member's address. Connections to an earlier one take nothing new; none are kept to a
@@ -106,6 +107,7 @@
 type conn struct {
 	m        *Members
 	node     int
+	life     int // the row's when it was dialled
 	at       netip.AddrPort
 	fd       int
 	state    state
@@ -184,7 +186,7 @@
 		m.count.DialsFailed++
 		return nil
 	}
-	c := &conn{m: m, node: node, at: at, fd: fd, in: m.blocks.New(), out: m.blocks.New(),
+	c := &conn{m: m, node: node, life: m.hosts[node].life, at: at, fd: fd, in: m.blocks.New(), out: m.blocks.New(),
 		answer: pg.Answer{Row: m.blocks.New()}}
 	c.timer = loop.NewTimer(c.due)
 	if err := m.loop.Add(fd, c, true, true); err != nil {
@@ -359,7 +361,7 @@
 // rest keeps a connection for the next dispatch.
 func (c *conn) rest(now float64) {
 	h := &c.m.hosts[c.node]
-	if c.at != h.at {
+	if c.at != h.at || c.life != h.life {
 		c.close()
 		return
 	}
@@ -403,6 +405,9 @@
 	if e != router.Answered {
 		c.m.count.ProbesFailed++
 	}
+	if c.life != c.m.hosts[c.node].life { // it speaks for nobody who is known
+		return
+	}
 	c.m.sink.Probed(c.node, e, took, report)
 }
 
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -311,6 +311,35 @@
 	assert.Equal(t, []string{"one", "two", "three"}, b.values)
 }
 
+// A member is forgotten, and its index goes to another, while a probe of it is out: what it reports is its own.
+func TestReportOfAForgottenMemberSpeaksForNoOther(t *testing.T) {
+	for what, said := range map[string][]byte{"reports": answer("x0=5,x1=1"), "spoilt": []byte("?"), "ends": nil} {
+		b := newBench(t)
+		b.m.Probe(0)
+		c := b.accept()
+		b.hear(c, len(pg.Query(nil, "SHOW health")))
+		b.m.Forget(0)
+		other := listener(t)
+		b.place(other)
+		if said != nil {
+			_, _ = c.Write(said)
+		}
+		_ = c.Close()
+		b.run(func() bool { return b.m.Open() == 0 })
+		assert.Empty(t, b.probes, what)
+		b.m.Forget(0)
+		b.place(b.node)
+		b.m.Probe(0)
+		c = b.accept()
+		b.hear(c, len(pg.Query(nil, "SHOW health")))
+		b.m.Forget(0)
+		b.place(b.node)
+		_, _ = c.Write(answer("x0=5,x1=1"))
+		b.run(func() bool { return b.m.Open() == 0 })
+		assert.Empty(t, b.probes, "at the same address too, and the connection is not kept")
+	}
+}
+
 func TestProbeTellsItsReportOrItsFailure(t *testing.T) {
 	b := newBench(t)
 	b.m.Probe(0)
