--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -141,10 +141,10 @@
 	return query(id, "c=look,d=300000,x="+strings.Repeat("y", 900)) // a comment is a kilobyte at the most
 }
 
-// huge is a statement that sockets cannot hold.
+// huge is a statement that the sockets on the way to the member cannot hold: its own receive buffer is small.
 func huge(id string) []byte {
 	return pg.Query(nil, fmt.Sprintf("SELECT doc FROM items WHERE id = '%s' /* id=%s,cluster=2,c=look,d=300000 */",
-		strings.Repeat("y", 32<<20), id))
+		strings.Repeat("y", 6<<20), id))
 }
 
 // A client that leaves while its command waits has nothing sent for it any more, in whatever way it waits, whether
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,7 +45,12 @@
 		return n
 	}
 	d := &desk{t: t, count: count.Counters{TakenByGroup: make([]uint64, 2)}, node: mute()}
-	var err error
+	raw, err := d.node.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { // connections that it accepts have it too
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+	}))
+	require.NoError(t, err)
 	d.l, err = loop.New(16)
 	require.NoError(t, err)
 	d.member = roster.Member{ID: "a", At: netip.MustParseAddrPort(d.node.Addr().String()), Cell: 2, State: roster.Ready, Primary: true}
