Lists that are asked for are waited for a second again: a crowded registry answers late

A registry with a capacity answers late, and calls given up after 62 ms came again. What it has binds by the clock of silence there, not at its return, so the second stands; where lists come by themselves the quarter of the grace does.

--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -109,6 +109,11 @@
 	s, err := load(t, config, nil)
 	require.NoError(t, err, "not told")
 	assert.Equal(t, 1.0, s.Limits.Late)
+	asked := strings.Replace(config, `"overloadFactor"`, `"stopSendingWithinNs":250000000,"overloadFactor"`, 1)
+	s, err = load(t, strings.Replace(asked, `"discovery":"push"`, `"discovery":"ask"`, 1), nil)
+	require.NoError(t, err)
+	require.True(t, s.Told.Ask)
+	assert.Equal(t, 1.0, s.Limits.Late, "a crowded registry answers late")
 	_, err = load(t, strings.Replace(config, `"overloadFactor"`, `"stopSendingWithinNs":-1,"overloadFactor"`, 1), nil)
 	assert.ErrorContains(t, err, "invariants.stopSendingWithinNs")
 }
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -99,11 +99,16 @@
 	for _, g := range told.Groups {
 		longest = max(longest, g.Timeout)
 	}
-	// What discovery has when it returns from a silence binds within the grace, whatever call or pause it meets: they
-	// have to be over well before. So has a connection that came up for a member that was told to drain meanwhile.
+	// Where lists come by themselves what the agent has when it returns from a silence binds within the grace, whatever
+	// call or pause it meets: they have to be over well before. Where they are asked for a crowded registry answers late,
+	// and giving its calls up early crowded it more. A connection that came up for a member that was told to drain
+	// meanwhile has to be made within the grace too.
 	late, pause, dial := 1.0, 1.0, told.Dial
 	if told.Grace > 0 {
-		late, pause, dial = min(late, lateShare*told.Grace), min(pause, pauseShare*told.Grace), min(dial, told.Grace)
+		dial = min(dial, told.Grace)
+		if !told.Ask {
+			late, pause = min(late, lateShare*told.Grace), min(pause, pauseShare*told.Grace)
+		}
 	}
 	return Limits{
 		Memory: memory, Sockets: sockets,
