Who asks and leaves before being accepted is not heard; a reset ends no reply of discovery

The end is looked for first now. A cut list does not parse, so no wrong list could come of it; one whose every byte came counted. Failed without the line: 6 listed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -167,7 +167,7 @@
 		w.loop.Set(w.timer, min(w.until, now+w.limits.Late))
 	}
 	whole, bad := w.reply.Take(&w.in, w.limits.Page, w.limits.Line)
-	whole = whole || err != nil && bad == nil && w.reply.End()
+	whole = whole || bad == nil && errors.Is(err, loop.ErrEnded) && w.reply.End() // a reset ends no reply
 	switch {
 	case bad != nil:
 		w.fail(bad)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,9 +21,10 @@
 )
 
 // watcher is a watch of an agent that says one reply after the other; "" closes the connection instead,
-// and "silence" says nothing.
+// "silence" says nothing, and what ends in "reset" is said without it, and once it was read the connection is reset.
 type watcher struct {
 	asked chan string
+	heard chan struct{} // gets one once the reply that is to be reset was read
 	w     *Watch
 	l     *loop.Loop
 	told  []string
@@ -43,7 +44,7 @@
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = n.Close() })
-	w := &watcher{asked: make(chan string, 100)}
+	w := &watcher{asked: make(chan string, 100), heard: make(chan struct{}, 1)}
 	go func() {
 		for {
 			c, err := n.Accept()
@@ -64,6 +65,12 @@
 				if say == "" {
 					break
 				}
+				if begun, reset := strings.CutSuffix(say, "reset"); reset {
+					_, _ = fmt.Fprint(c, begun)
+					<-w.heard
+					_ = c.(*net.TCPConn).SetLinger(0)
+					break
+				}
 				if say != "silence" {
 					_, _ = fmt.Fprint(c, say)
 				}
@@ -134,6 +141,25 @@
 	}
 }
 
+// A reply that tells no length ends with its connection, but for a reset, before which anything may be missing.
+func TestResetEndsNoReply(t *testing.T) {
+	bare := "HTTP/1.1 200 OK\r\n\r\n" + `{"generation":6,"reset":true,"instances":[]}`
+	w := newWatcher(t, false, bare+"reset", list(7, true))
+	w.w.Ask()
+	w.want = 2
+	late := time.Now().Add(20 * time.Second)
+	require.NoError(t, w.l.Run(func(now float64) float64 {
+		if len(w.w.reply.Body) > 0 && len(w.heard) == 0 && len(w.told) == 0 {
+			w.heard <- struct{}{}
+		}
+		if time.Now().After(late) {
+			w.l.Stop()
+		}
+		return now + 1
+	}))
+	assert.Equal(t, []string{"failed", "7 true"}, w.told)
+}
+
 func TestWatchThatMustBeAskedForEndsWithAFailure(t *testing.T) {
 	w := newWatcher(t, true, list(4, true), "", list(5, true))
 	w.w.Ask()
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -307,6 +307,25 @@
 	assert.Zero(t, d.count.Dispatches)
 }
 
+// A client that waits to be accepted asks and leaves meanwhile: what it asked is not sent on once there is room for it.
+func TestClientThatLeavesBeforeItIsAcceptedIsNotHeard(t *testing.T) {
+	for how, linger := range map[string]int{"closes": -1, "resets": 0} {
+		d := newDesk(t, func(*site.Limits) {})
+		s := d.stand(func(*stand) {})
+		c, err := net.Dial("tcp", d.f.At.String())
+		require.NoError(t, err)
+		_, err = c.Write(hello(query("a1", "c=look,d=300000")))
+		require.NoError(t, err)
+		require.NoError(t, c.(*net.TCPConn).SetLinger(linger))
+		require.NoError(t, c.Close()) // the loop has not turned yet
+		d.client(hello(query("b1", "c=look,d=300000")))
+		d.run(s.has(1))
+		assert.Equal(t, []string{"b1"}, s.ids(), how)
+		assert.EqualValues(t, 1, d.count.Taken, how)
+		assert.EqualValues(t, 2, d.count.Accepted, how)
+	}
+}
+
 // The rest of a message comes in the turn in which its time is over: it was whole in time.
 func TestMessageThatLiesInTheSocketIsNotCutShort(t *testing.T) {
 	d := newDesk(t, func(*site.Limits) {})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -128,6 +128,10 @@
 		}
 		f.count.Accepted++
 		f.conns[c] = true
+		if f.loop.Left(fd) { // it waited to be accepted for longer than it waits for an answer: what it asked is not read
+			c.close()
+			continue
+		}
 		c.read()
 	}
 }
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -66,6 +66,13 @@
 	return n == 1 && err == nil
 }
 
+// Left says that the other side of a connection has ended, also where bytes that it sent before were not read.
+func Left(fd int) bool {
+	ended := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(ended, 0)
+	return n == 1 && err == nil
+}
+
 // Accept takes one connection; false: none waits. An error is a lack of descriptors or memory.
 func Accept(listener int) (fd int, ok bool, err error) {
 	for {
--- a/internal/loop/wire.go
+++ b/internal/loop/wire.go
@@ -32,6 +32,7 @@
 	Bound(listener int) (netip.AddrPort, error)
 	Waiting(listener int) bool
 	Accept(listener int) (fd int, ok bool, err error)
+	Left(fd int) bool // the other side has ended, whatever it sent before
 	EndSending(fd int)
 }
 
@@ -67,6 +68,9 @@
 // Accept implements ListenWire.
 func (*Loop) Accept(listener int) (int, bool, error) { return Accept(listener) }
 
+// Left implements ListenWire.
+func (*Loop) Left(fd int) bool { return Left(fd) }
+
 // EndSending implements ListenWire.
 func (*Loop) EndSending(fd int) { EndSending(fd) }
 
--- a/internal/systems/client.go
+++ b/internal/systems/client.go
@@ -104,6 +104,7 @@
 }
 func (l *listening) Bound(int) (netip.AddrPort, error) { return netip.AddrPort{}, nil }
 func (l *listening) Waiting(int) bool                  { return len(l.coming) > 0 }
+func (l *listening) Left(fd int) bool                  { return l.socks[fd].ended }
 func (l *listening) Since() float64                    { return l.now }
 func (l *listening) EndSending(int)                    {}
 func (l *listening) Accept(int) (int, bool, error) {
