Thin routers hear a set that answers nothing in time: a member's pace leans on its set's

A router sends a member 0.03 to 0.1 dispatches a second, so its record leans on the fleet's mean, whose answers come from the sets that still answer; six in ten hosts had tipped by 8 s, and clients that are refused come again at once. At fault: router.mean, which leant on the fleet alone. Now a node leans on its set, which a router hears ten times as often, and that on the fleet; it fades in four targets. TestWhatWasNotWaitedForIsNotQuick held that cap: it holds the full count, the set's and the stretch's now.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,7 +31,7 @@
 	quietAlone  = 8.0     // mean answer times, shared by the dispatches since the last answer, beyond one
 	lostAfter   = 5.0     // foretold answer times after which an answer that others overtook is lost
 	mostRuns    = 2       // dispatches without an answer, after which a command is itself at fault
-	mostStretch = 3.0     // foretold times that an unanswered dispatch tells of its node's pace at most
+	mostStretch = 3.0     // times what was foretold that one answer tells of at most
 	failMargin  = 0.35    // a share of failures this far above the fleet's median is doubted: not one alone
 	trialShare  = 0.05    // of this router's commands may be trials of doubted nodes
 	lastResort  = 0.25    // of the longest target after a failure until a doubted node is better than none
@@ -101,6 +101,8 @@
 	nodes       []int
 	floor       float64 // the highest position owed to a session that was let go
 	top, oldTop float64 // the highest of the young and old generations
+	lat, done   float64 // fading sums over its nodes' answers: time, number
+	fadedAt     float64
 }
 
 // session is a session's two positions.
@@ -660,9 +662,12 @@
 	return r.mean(n) * (others + float64(ahead+1)/(places+1)) / (others + 1)
 }
 
-// mean is a node's mean answer time, leaning on the fleet's while there are few.
+// mean is a node's mean answer time, leaning on its set's while there are few, and that on the fleet's. Thin
+// routers hear a node every ten seconds, its set every second: leaning on the fleet alone, hundreds went on
+// sending to sets that answered nothing in time. Harm: one slow node slows its set's others a little.
 func (r *Router) mean(n *node) float64 {
-	return (n.lat + priorWeight*r.lat) / (n.done + priorWeight)
+	s := &r.sets[n.set]
+	return (n.lat + priorWeight*(s.lat+priorWeight*r.lat)/(s.done+priorWeight)) / (n.done + priorWeight)
 }
 
 // failing is a node's share of failures.
@@ -708,6 +713,7 @@
 // workOf is a command group's work, or before its first answer what its target makes likely.
 func (r *Router) workOf(g *group) float64 { return cmp.Or(g.work, workShare*g.Target) }
 
+// fadeNode lets the records of a node and of its set fade.
 func (r *Router) fadeNode(now float64, n *node) {
 	if now > n.fadedAt {
 		f, quick := math.Exp((n.fadedAt-now)/r.fade), math.Exp(memorySpan*(n.fadedAt-now)/r.fade)
@@ -715,6 +721,10 @@
 		n.bad, n.all = n.bad*quick, n.all*quick
 		n.fadedAt = now
 	}
+	if s := &r.sets[n.set]; now > s.fadedAt {
+		f := math.Exp((s.fadedAt - now) / (memorySpan * r.span))
+		s.lat, s.done, s.fadedAt = s.lat*f, s.done*f, now
+	}
 }
 
 func (r *Router) blame(now float64, n *node) {
@@ -785,6 +795,9 @@
 		}
 	}
 	until := c.GiveUp
+	if c.runs > 0 && g.Effect == Keyed {
+		until = math.Min(until, c.ranAt+g.Memory) // what is not whole there by then must not run any more
+	}
 	if g.Effect == Replayable && g.Late == 0 && !r.dear() {
 		until = math.Min(until, c.Arrived+g.Target)
 	}
@@ -907,8 +920,7 @@
 	case TimedOut, Recalled:
 		// Its answer would have taken as much again in the mean. Where clients left early what they left had
 		// counted as quick, and hundreds of routers went on sending to a primary that answered nobody.
-		pace := r.pace(n, l.ahead)
-		r.measure(g, n, l, math.Min(o.Took+pace, mostStretch*pace))
+		r.measure(g, n, l, o.Took+r.pace(n, l.ahead))
 		fallthrough
 	case Errored, Broken:
 		if c.runs++; c.runs == 1 {
@@ -924,11 +936,13 @@
 // measure adds an answer time, or the least that it would have been.
 func (r *Router) measure(g *group, n *node, l *Leg, took float64) {
 	if seen := r.pace(n, l.ahead); seen > 0 {
-		g.stretch += groupWeight * (took/seen - g.stretch)
+		g.stretch += groupWeight * (math.Min(took/seen, mostStretch) - g.stretch)
 	}
 	n.lat += r.asMean(g, took)
 	n.places += float64(l.ahead + 1)
 	n.done++
+	s := &r.sets[n.set]
+	s.lat, s.done = s.lat+r.asMean(g, took), s.done+1
 }
 
 // asMean is an answer time as of a command of mean work. What a heavier one takes beyond its own work is
@@ -997,15 +1011,19 @@
 		r.weigh(now)
 		r.forget(now)
 		for i := range r.nodes {
-			// A position that was not told lately, or a sign of life from a doubted node.
-			n, doubted := &r.nodes[i], r.doubted(now, i)
+			n := &r.nodes[i]
+			if n.set < 0 {
+				continue
+			}
+			doubted := r.doubted(now, i)
 			// A flapping list, a cold start and what is still out are over by then; the row may be another's.
-			if n.set >= 0 && n.legs == 0 && now-math.Max(n.goneAt, n.lastGood) > r.site.WarmIn+keepSpans*r.longest {
+			if n.legs == 0 && now-math.Max(n.goneAt, n.lastGood) > r.site.WarmIn+keepSpans*r.longest {
 				r.unplace(i)
 				*n = blank
 				up.Forget = append(up.Forget, i)
 			}
-			// A sign of life tells nothing of one that was reached and is silent or failing: a trial does.
+			// A position that was not told lately, or a sign of life from a doubted node. It tells nothing of one that
+			// was reached and is silent or failing: a trial does.
 			away, due := !math.IsInf(n.downAt, 1), r.look
 			if doubted {
 				due = math.Max(r.look, r.retry)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -741,16 +741,66 @@
 	assert.Equal(t, 0, a.Node)
 }
 
-// Clients that left after a moment made the primary that answered nobody look quick.
+// Clients that left after a moment made the primary that answered nobody look quick. What was waited for in vain
+// counts as all of that, but for what it tells of its group's stretch.
 func TestWhatWasNotWaitedForIsNotQuick(t *testing.T) {
-	r := testRouter(t, testSite())
-	r.base, r.lat, r.groups[gAny].work = 0.1, 0.1, 0.1
-	for at, left := range map[int][2]float64{1: {0.01, 0.11}, 2: {9, mostStretch * 0.1}} { // when, and what it counts as
+	for at, left := range map[int][2]float64{1: {0.01, 0.11}, 2: {9, 9.1}} { // when, and what it counts as
+		r := testRouter(t, testSite())
+		r.base, r.lat, r.groups[gAny].work = 0.1, 0.1, 0.1
 		c := command(gAny)
 		c.Legs, c.asked = []Leg{{Node: at, Sent: 10, Out: true}}, true
 		r.After(10+left[0], c, Outcome{Ending: Recalled, Took: left[0], Over: true, Position: -1})
 		assert.InDelta(t, left[1], r.nodes[at].lat, 1e-9)
+		assert.InDelta(t, left[1], r.sets[0].lat, 1e-9)
+		told := math.Min(left[1]/0.1, mostStretch)
+		assert.InDelta(t, 1+groupWeight*(told-1), r.groups[gAny].stretch, 1e-9)
+	}
+}
+
+// Hundreds of thin routers, each of which heard a member every ten seconds, went on sending to a set that answered
+// nothing in time: what one of its members shows counts for those that were not heard, and for no other set.
+func TestSetThatAnswersNothingInTimeIsLeftAlone(t *testing.T) {
+	s := testSite()
+	s.Routers = 300
+	r := testRouter(t, s)
+	r.base, r.lat, r.groups[gAny].work = 0.05, 0.05, 0.05
+	r.Listed(0, []Listing{{Node: 5, Set: 1, State: Ready, Started: math.Inf(-1)}}, false, false)
+	other := r.mean(&r.nodes[5])
+	for k := range 3 {
+		c := command(gAny)
+		c.Legs, c.asked = []Leg{{Node: 1, Sent: 10, Out: true}}, true
+		r.nodes[1].legs, r.nodes[1].out = 1, 1
+		r.After(10.5+float64(k)*0.01, c, Outcome{Ending: TimedOut, Took: 0.5, Over: true, Position: -1})
 	}
+	assert.Greater(t, r.mean(&r.nodes[2]), 4*other)
+	assert.InDelta(t, other, r.mean(&r.nodes[5]), 1e-9)
+	c := command(gAny)
+	c.Arrived, c.GiveUp = 10.6, 12
+	assert.Equal(t, Hold, r.Place(10.6, c).Verdict, "it would come too late everywhere in the set")
+	c = command(gAny)
+	c.Set, c.Arrived, c.GiveUp = 1, 10.6, 12
+	assert.Equal(t, 5, r.Place(10.6, c).Node)
+	later := 10.6 + 4*memorySpan*r.span // what it showed fades in the time of some targets
+	c = command(gAny)
+	c.Arrived, c.GiveUp = later, later+1.4
+	assert.Equal(t, Send, r.Place(later, c).Verdict)
+}
+
+// A keyed repeat that a member takes in slowly ran after its memory was over.
+func TestKeyedRepeatIsNotWaitedForBeyondItsMemory(t *testing.T) {
+	s := testSite()
+	s.Groups[gWrite].Effect, s.Groups[gWrite].Memory = Keyed, 1.5
+	r := testRouter(t, s)
+	c := command(gWrite)
+	a := r.Place(10, c)
+	assert.Equal(t, Send, a.Verdict)
+	assert.Equal(t, c.GiveUp, a.Until, "a first dispatch has all of its client's time")
+	a = r.After(10.01, c, Outcome{Ending: Broken, Took: 0.01, Position: -1})
+	for k := 0; a.Verdict == Hold && k < 100; k++ {
+		a = r.Place(a.Again, c)
+	}
+	assert.Equal(t, Send, a.Verdict)
+	assert.Equal(t, 11.5, a.Until)
 }
 
 // With slow handshakes each dispatch that ran out of time lost a connection that could not be replaced.
