Rule 5 mended: session reads cover writes that are out or may have run; asked lists in time

At fault: router.admit worked out once, on arrival, what a session's read owes, from answered writes alone. Now owed is asked at every look; while a write of the session is out at this router only what covers this very moment may be read, and one that may have run counts up to its end. The test has every ending of a write, each part seen failing without its lines. Harm: a session's reads beside its own writes lean on the primary. Where reads bring the age of their last write nothing changes but that.

Lists that are asked for. Found by a test of the open row (a silent call, then a refusal): the list came 8.0 s after the call, and it binds at 6.25. At fault: a hold of 5 s leaves 1 s, and router.Wait told the time of the next look at members, not of the next call. The test fails without either (8.0 s, 7.56 s).

--- a/cmd/stoatdale/crossing_test.go
+++ b/cmd/stoatdale/crossing_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -54,3 +56,48 @@
 	}
 	assert.Empty(t, a.asked, "which drains")
 }
+
+// A list that is asked for falls silent, and the call that follows is refused by a crowded registry: what was missed is
+// heard by the time at which it counts as told, and the grace. With a hold of 5 s it came too late.
+func TestSilentListIsHeardInTimeThoughTheNextCallIsRefused(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	a, b := newMember(t, says("on")), newMember(t, says("on"))
+	lists := []string{fmt.Sprintf(`{"generation":6,"reset":true,"instances":[%s,%s]}`, entry(a, "a", "ready", "on"), entry(b, "b", "ready", "on")),
+		fmt.Sprintf(`{"generation":7,"reset":true,"instances":[%s,%s]}`, entry(a, "a", "draining", "on"), entry(b, "b", "ready", "on"))}
+	silent := make(chan float64, 1)
+	go func() {
+		for step := 0; ; {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			for r := bufio.NewReader(c); ; step++ {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				switch step {
+				case 1: // the watch, which says nothing any more
+					ms, _ := strconv.ParseFloat(q.URL.Query().Get("hold_ms"), 64)
+					silent <- ms / 1000
+				case 2:
+					_, _ = fmt.Fprint(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+				case 0, 3:
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(lists[step/3]), lists[step/3])
+				}
+			}
+		}
+	}()
+	s := settings(false)
+	s["discovery"] = "ask"
+	s["invariants"].(map[string]any)["askWithinNs"] = 10e9
+	const grace = 0.25
+	r := startMore(t, map[string]any{"discovery": l.Addr().String(), "settings": s}, grace*1e9, entry(a, "a", "ready", "on"))
+	hold := next(t, silent)
+	began := time.Now()
+	r.logged(`"generation":7`)
+	assert.Less(t, time.Since(began).Seconds(), math.Max(6, hold+2)+grace)
+}
--- a/internal/router/carry.go
+++ b/internal/router/carry.go
@@ -24,6 +24,12 @@
 		r.sets[i] = s
 	}
 	r.young, r.old, r.turnedAt = maps.Clone(from.young), maps.Clone(from.old), now
+	for _, sessions := range []map[uint64]session{r.young, r.old} {
+		for id, s := range sessions { // writes that are out end there
+			s.out = 0
+			sessions[id] = s
+		}
+	}
 	r.following, r.followAt, r.followFailures = from.following, from.followAt, from.followFailures
 }
 
--- a/internal/router/carry_test.go
+++ b/internal/router/carry_test.go
@@ -30,11 +30,9 @@
 	assert.Zero(t, r.lat+r.warmRate)
 	c := &Command{Group: 1, Session: 9, Arrived: 12, GiveUp: 14}
 	assert.Equal(t, 1, r.pick(12, c, &r.groups[1], r.session(9).seen), "it covers what the session has seen")
-	r.admit(12, c, &r.groups[1])
-	assert.Equal(t, 10.7, c.need)
+	assert.Equal(t, 10.7, r.owed(12, c))
 	other := &Command{Group: 1, Session: 4, Arrived: 12, GiveUp: 14}
-	r.admit(12, other, &r.groups[1])
-	assert.Equal(t, 9.5, other.need, "nor is the floor lost")
+	assert.Equal(t, 9.5, r.owed(12, other), "nor is the floor lost")
 	old.nodes[1].pos, old.sets[0].nodes[0] = 0, 7
 	assert.Equal(t, 11.0, r.nodes[1].pos, "nothing is shared")
 	assert.Equal(t, []int{0, 1, 2}, r.sets[0].nodes)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,9 +1,8 @@
 // Package router decides where each command of a sharded, replicated database goes.
 //
-// How it is called: New takes a Site and a seed. Place answers where to send a command (or not yet, or
-// never), After what to do once a dispatch has ended, Wait how long until the next look and which upkeep is
-// due. Listed, ListFailed, Probed and Left feed facts in. Values that go in or out are plain and stand in
-// types.go; times are seconds, ids small indices. The caller decides nothing. docs/design.md has the why.
+// New takes a Site. Place answers where to send a command (or not yet, or never), After what to do once a
+// dispatch has ended, Wait how long until the next look and which upkeep is due. The others feed
+// facts in. Values are plain (types.go), times seconds, ids small indices; docs/design.md has the why.
 package router
 
 import (
@@ -98,15 +97,14 @@
 
 // set is the nodes that hold the same data.
 type set struct {
-	nodes       []int
-	floor       float64 // the highest position owed to a session that was let go
-	top, oldTop float64 // the highest of the young and old generations
-	lat, done   float64 // fading sums over its nodes' answers: time, number
-	fadedAt     float64
+	nodes              []int
+	floor              float64 // the highest position owed to a session that was let go
+	top, oldTop        float64 // the highest of the young and old generations
+	lat, done, fadedAt float64 // fading sums over its nodes' answers (time, number), as of then
 }
 
-// session is a session's two positions.
-type session struct{ token, seen float64 }
+// session is a session's two positions, and how many of its writes are out.
+type session struct{ token, seen, out float64 }
 
 // Router is one router's knowledge.
 type Router struct {
@@ -228,8 +226,7 @@
 }
 
 // Probed takes in a probe's result. Only its report speaks for the node's data. An error tells nothing, and
-// silence less than a command that was answered meanwhile: where probes failed at hosts that served, these
-// counted as out of reach, then as started anew, and were not tried while probes failed.
+// silence less than an answer meanwhile: hosts that served while probes failed counted as started anew.
 func (r *Router) Probed(now float64, at int, ending Ending, took, position float64, primary bool) {
 	n := &r.nodes[at]
 	switch ending {
@@ -271,9 +268,8 @@
 
 func (n *node) unreached(now float64) { n.downAt, n.lostAt = math.Min(n.downAt, now), now }
 
-// revive sees a node answer that was out of reach for longer than chance: it may have started anew
-// before any list says so, and counts as cold. Two failed contacts must lie that far apart, or one lost
-// probe makes rarely heard primaries cold. Harm: a node behind a broken link counts as cold too.
+// revive sees a node answer that was out of reach for longer than chance, by two failed contacts: it may have
+// started anew before any list says so, and counts as cold. Harm: one behind a broken link does too.
 func (r *Router) revive(now float64, n *node) {
 	if n.lostAt-n.downAt > r.span {
 		n.started = math.Max(n.started, now)
@@ -289,7 +285,11 @@
 func (r *Router) Place(now float64, c *Command) Answer {
 	g := &r.groups[c.Group]
 	if !c.asked {
-		r.admit(now, c, g)
+		c.asked, c.need = true, math.Inf(-1)
+		r.cmds++
+		if !c.Repeat {
+			g.asked++
+		}
 	}
 	if i := slices.IndexFunc(c.Legs, func(l Leg) bool { return l.Out }); i >= 0 {
 		return r.review(now, c, g, i)
@@ -308,23 +308,31 @@
 	return r.send(now, c, g, at, spilled)
 }
 
-// admit notes what a command needs when it is first seen.
-func (r *Router) admit(now float64, c *Command, g *group) {
-	c.asked, c.need = true, math.Inf(-1)
-	r.cmds++
-	if !c.Repeat {
-		g.asked++
-	}
-	if g.Need == NeedSession {
-		s := r.session(c.Session)
-		c.need = math.Max(s.token, s.seen)
-		if c.Set >= 0 && c.Set < len(r.sets) {
-			c.need = math.Max(c.need, r.sets[c.Set].floor)
-		}
-		if r.site.Brought && c.WriteAge != 0 {
-			c.need = math.Max(c.need, c.Arrived-c.WriteAge)
-		}
+// owed is the position that a session's read must cover if it is sent now: also what the session was told
+// while it waited. A write that is out may stand in the log already, with its answer on its way.
+func (r *Router) owed(now float64, c *Command) float64 {
+	s := r.session(c.Session)
+	need := math.Max(math.Max(s.token, s.seen), r.sets[c.Set].floor)
+	if r.site.Brought && c.WriteAge != 0 {
+		need = math.Max(need, c.Arrived-c.WriteAge)
+	} else if s.out > 0 && !r.site.Brought {
+		need = now
+	}
+	return need
+}
+
+// note keeps what a session has written or seen, and that one more of its writes is out, or one less.
+func (r *Router) note(c *Command, g *group, out, at float64) {
+	s := r.session(c.Session)
+	switch {
+	case c.Session != 0 && g.Need == NeedWrite:
+		s.out, s.token = math.Max(0, s.out+out), math.Max(s.token, at)
+	case c.Session != 0 && g.Need == NeedSession && !math.IsInf(at, -1):
+		s.seen = math.Max(s.seen, at)
+	default:
+		return
 	}
+	r.young[c.Session], r.sets[c.Set].top = s, math.Max(r.sets[c.Set].top, at)
 }
 
 // session is what is remembered of a session, if anything.
@@ -385,6 +393,8 @@
 		c.need = c.Arrived // a replica that covers it will do
 	case g.Need == NeedBound:
 		c.need = now - g.Bound
+	case g.Need == NeedSession:
+		c.need = r.owed(now, c)
 	}
 	if at = r.pick(now, c, g, c.need); at >= 0 {
 		return at, false
@@ -453,8 +463,7 @@
 	}
 }
 
-// mayCover says whether a member can have applied up to a position within the wait, even at twice
-// the log's pace.
+// mayCover says whether a member can have applied up to a position within the wait, at twice the log's pace.
 func (n *node) mayCover(now, need float64) bool {
 	return math.IsInf(n.heardAt, -1) || need <= n.pos+2*(now+catchUp-n.heardAt)
 }
@@ -502,8 +511,7 @@
 	return at
 }
 
-// pick spreads reads uniformly over the replicas that cover a position. Who qualifies is
-// narrowed to those that answer (a hung one keeps its position) and are not crowded.
+// pick spreads reads uniformly over the replicas that cover a position, answer, and are not crowded.
 func (r *Router) pick(now float64, c *Command, g *group, need float64) int {
 	if trial := r.qualify(now, c, g, need); trial >= 0 {
 		n := &r.nodes[trial]
@@ -638,9 +646,8 @@
 	return at
 }
 
-// fits sheds by benefit: a group may only join queues that leave room for what carries more
-// benefit for its work, and nothing is sent that comes too late anyway. A client's repeat has
-// spent its target on the first try.
+// fits sheds by benefit: a group joins only queues that leave room for what carries more benefit for its
+// work, and nothing is sent too late. A client's repeat has spent its target on the first try.
 func (r *Router) fits(now float64, c *Command, g *group, at int, room float64) bool {
 	if c.Repeat && g.left <= leaveShare {
 		room *= repeatCut
@@ -686,9 +693,8 @@
 // dear says that new connections cost much, so that those that stand are worth keeping.
 func (r *Router) dear() bool { return r.dial >= crowdSlack*r.span }
 
-// doubted says that a node takes work and answers none, or fails more than the fleet does.
-// A hung node keeps its last position and would go on qualifying. Once doubted it stays so until
-// it answers: a trial at a time, or a probe where it could not be reached.
+// doubted says that a node takes work and answers none, or fails more than the fleet does; if hung it keeps
+// its position. It stays so until it answers: a trial at a time, or a probe where it could not be reached.
 func (r *Router) doubted(now float64, at int) bool {
 	n := &r.nodes[at]
 	r.fadeNode(now, n)
@@ -787,6 +793,7 @@
 	r.fadeNode(now, n)
 	n.out, n.legs, n.sent = n.out+1, n.legs+1, n.sent+1
 	n.budget = math.Max(0, n.budget-1)
+	r.note(c, g, 1, math.Inf(-1))
 	if g.Need != NeedWrite && len(c.Legs) == 1 {
 		r.turnSlots(now)
 		r.reads[r.slotAt%spillSlots]++
@@ -872,6 +879,7 @@
 	l := &c.Legs[o.Leg]
 	n := &r.nodes[l.Node]
 	l.Out, n.legs = false, n.legs-1
+	r.note(c, g, -1, math.Inf(-1))
 	c.wrote = c.wrote || o.Ending != Unreached && o.Ending != Moot
 	if !l.lost {
 		n.out--
@@ -926,6 +934,7 @@
 		if c.runs++; c.runs == 1 {
 			c.ranAt, c.ranOn = l.Sent, l.Node
 		}
+		r.note(c, g, 0, now) // it may have been answered: a connection can break under its answer
 	}
 	if o.Over {
 		return Answer{Verdict: Done, Recall: r.callOff(c)}
@@ -978,20 +987,11 @@
 		r.places += w * (float64(l.ahead+1) - r.places)
 	}
 	r.measure(g, n, l, o.Took)
-	at, s := r.site.ZeroAt+o.Position, r.session(c.Session)
-	switch {
-	case c.Session == 0 || g.Need != NeedWrite && (g.Need != NeedSession || o.Position < 0):
-		return
-	case g.Need == NeedSession:
-		s.seen = math.Max(s.seen, at)
-	case o.Position < 0:
-		at = now
-		fallthrough
-	default:
-		s.token = math.Max(s.token, at)
+	if o.Position >= 0 {
+		r.note(c, g, 0, r.site.ZeroAt+o.Position)
+	} else if g.Need == NeedWrite {
+		r.note(c, g, 0, now)
 	}
-	r.young[c.Session] = s
-	r.sets[c.Set].top = math.Max(r.sets[c.Set].top, at)
 }
 
 // Wait says how long until the next look, and what upkeep is due now.
@@ -1035,6 +1035,9 @@
 		}
 	}
 	up.Probe, r.wanted = append(up.Probe, r.wanted...), r.wanted[:0]
+	if r.site.Ask && !r.following { // a list that was missed binds, however rarely members are looked at
+		return math.Max(0, math.Min(r.waitedAt+r.gap/2, r.followAt)-now), up
+	}
 	return r.waitedAt + r.gap/2 - now, up
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -786,6 +787,31 @@
 	assert.Equal(t, Send, r.Place(later, c).Verdict)
 }
 
+// Where members are looked at rarely a list that failed was asked for again up to half a span late.
+func TestFailedListIsAskedForWhenItIsDue(t *testing.T) {
+	s := testSite()
+	s.Ask = true
+	for i := range s.Groups {
+		s.Groups[i].Need, s.Groups[i].Target, s.Groups[i].Timeout = NeedAny, 8, 20
+	}
+	r := testRouter(t, s)
+	_, up := r.Wait(10)
+	require.True(t, up.Follow)
+	r.ListFailed(10.1)
+	next, up := r.Wait(10.2)
+	assert.False(t, up.Follow)
+	assert.InDelta(t, r.followAt, 10.2+next, 1e-9)
+	assert.Less(t, r.followAt, 10.1+askShare*r.site.AskWithin+1e-9)
+	_, up = r.Wait(r.followAt)
+	assert.True(t, up.Follow)
+	next, _ = r.Wait(r.followAt)
+	assert.Positive(t, next)
+	r.Listed(12, nil, false, false)
+	next, up = r.Wait(12)
+	assert.False(t, up.Follow)
+	assert.Greater(t, next, 1.0, "it comes")
+}
+
 // A keyed repeat that a member takes in slowly ran after its memory was over.
 func TestKeyedRepeatIsNotWaitedForBeyondItsMemory(t *testing.T) {
 	s := testSite()
@@ -1124,3 +1150,56 @@
 	r.Probed(20, 1, Answered, 0.01, 19, false)
 	assert.InDelta(t, 19, r.nodes[1].pos, 1e-3)
 }
+
+// A session read is sent while a write of its session is out, or after one that broke: the member may have run the write
+// and its answer been on its way, so that the read owes what it wrote. A lagging replica was read (rule 5).
+func TestSessionReadCoversWritesThatMayHaveRun(t *testing.T) {
+	s := testSite()
+	s.Groups[gWrite].Effect = Keyed
+	replicas := []int{1, 2}
+	for what, w := range map[string]struct {
+		o      *Outcome // at 10.1; nil: it is out
+		covers float64  // what replicas must hold then to be read
+	}{
+		"out":       {nil, 10.15},
+		"broke":     {&Outcome{Ending: Broken}, 10.1},
+		"timed out": {&Outcome{Ending: TimedOut}, 10.1},
+		"erred":     {&Outcome{Ending: Errored}, 10.1},
+		"left":      {&Outcome{Ending: Recalled}, 10.1},
+		"answered":  {&Outcome{Ending: Answered}, 10.05},
+		"never ran": {&Outcome{Ending: Unreached}, 10},
+		"full":      {&Outcome{Ending: Full}, 10},
+		"missed":    {&Outcome{Ending: Missed}, 10},
+	} {
+		for _, held := range []float64{-0.001, 0.001} { // what replicas hold, beside that
+			r := testRouter(t, s)
+			r.base, r.lat = 0.01, 0.01
+			hold := func(pos float64) {
+				for _, i := range replicas {
+					r.nodes[i].pos, r.nodes[i].heardAt, r.nodes[i].lag = pos, 10.15, 10.15-pos
+				}
+			}
+			first := command(gSession)
+			require.Contains(t, replicas, r.Place(10, first).Node)
+			r.After(10, first, Outcome{Ending: Answered, Took: 0.01, Over: true, Position: 10}) // seen mark 10
+			c := command(gWrite)
+			require.Equal(t, 0, r.Place(10, c).Node)
+			waits := command(gSession) // arrived before the write ended, and found no replica
+			waits.asked, waits.need = true, 10
+			if w.o != nil {
+				o := *w.o
+				o.Took, o.Over, o.Position = 0.1, true, -1
+				if o.Ending == Answered {
+					o.Position = 10.05
+				}
+				r.After(10.1, c, o)
+			}
+			assert.Equal(t, w.o == nil, r.session(9).out == 1, what)
+			hold(w.covers + held)
+			other := command(gSession)
+			other.Session, other.Arrived, other.GiveUp = 8, 10.15, 12
+			assert.Contains(t, replicas, r.Place(10.15, other).Node, "%s: of another session", what)
+			assert.Equal(t, held > 0, slices.Contains(replicas, r.pick(10.15, waits, &r.groups[gSession], r.owed(10.15, waits))), "%s, %g", what, held)
+		}
+	}
+}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -114,6 +115,12 @@
 	require.NoError(t, err)
 	require.True(t, s.Told.Ask)
 	assert.Equal(t, 1.0, s.Limits.Late, "a crowded registry answers late")
+	// A call that fell silent as it was made is given up, and asked again after a sixteenth of the asking rule's span at
+	// the most; that is refused, and asked again after an eighth. What was missed counts as told six seconds after the
+	// silence began, or two past the hold if later.
+	const asks = 10.0
+	told := math.Max(6, s.Limits.Watch+2)
+	assert.Less(t, s.Limits.Watch+s.Limits.Late+asks/16+asks/8, told)
 	_, err = load(t, strings.Replace(config, `"overloadFactor"`, `"stopSendingWithinNs":-1,"overloadFactor"`, 1), nil)
 	assert.ErrorContains(t, err, "invariants.stopSendingWithinNs")
 }
--- a/internal/site/start.go
+++ b/internal/site/start.go
@@ -89,6 +89,8 @@
 	idleShare       = 0.6
 	lateShare       = 0.25  // of the settings' grace: a silent call to discovery,
 	pauseShare      = 0.125 // and the pause after it
+	longWatch       = 5.0   // seconds that a call to discovery is held; what a silent one misses counts as told 7 s after it
+	askedWatch      = 3.0   // where calls are asked for: 6 s after it, and the call that follows may be refused once
 	longestWait     = 10    // client timeouts of the deployment: what is longer is a mistake
 )
 
@@ -103,7 +105,10 @@
 	// call or pause it meets: they have to be over well before. Where they are asked for a crowded registry answers late,
 	// and giving its calls up early crowded it more. A connection that came up for a member that was told to drain
 	// meanwhile has to be made within the grace too.
-	late, pause, dial := 1.0, 1.0, told.Dial
+	late, pause, dial, watch := 1.0, 1.0, told.Dial, longWatch
+	if told.Ask {
+		watch = askedWatch
+	}
 	if told.Grace > 0 {
 		dial = min(dial, told.Grace)
 		if !told.Ask {
@@ -121,7 +126,7 @@
 		Epoch: 3600, Way: told.Tick, Wait: longestWait * longest,
 		First: 2, Whole: 2, Stall: 10, Quiet: 5, Mute: 0.01, Dial: dial, Probe: told.Dial, Idle: idleShare * told.Idle,
 		Rest: told.Tick, Ahead: 1,
-		Watch: 5, Late: late, Reply: 1, Pause: min(0.05, pause), LongPause: pause,
+		Watch: watch, Late: late, Reply: 1, Pause: min(0.05, pause), LongPause: pause,
 		Linger: 0.5, LastCall: 0.15, Farewell: 1,
 	}
 }
