--- a/internal/router/carry.go
+++ b/internal/router/carry.go
@@ -20,14 +20,16 @@
 	}
 	r.sets = make([]set, len(from.sets))
 	for i, s := range from.sets {
-		s.nodes = slices.Clone(s.nodes)
+		s.nodes, s.lat, s.done = slices.Clone(s.nodes), 0, 0
 		r.sets[i] = s
 	}
 	r.young, r.old, r.turnedAt = maps.Clone(from.young), maps.Clone(from.old), now
 	for _, sessions := range []map[uint64]session{r.young, r.old} {
-		for id, s := range sessions { // writes that are out end there
-			s.out = 0
-			sessions[id] = s
+		for id, s := range sessions {
+			if s.out > 0 { // writes that are out end there, within the time of their clients
+				s.out, s.token = 0, max(s.token, now+from.longest)
+				sessions[id] = s
+			}
 		}
 	}
 	r.following, r.followAt, r.followFailures = from.following, from.followAt, from.followFailures
--- a/internal/router/carry_test.go
+++ b/internal/router/carry_test.go
@@ -12,7 +12,8 @@
 	old.nodes[1].pos, old.nodes[1].lat, old.nodes[1].done, old.nodes[1].legs, old.nodes[1].unheard = 11, 40, 100, 3, 2
 	old.nodes[2].shunned, old.nodes[2].started, old.nodes[2].budget = true, 9, 5
 	old.Listed(10, []Listing{{Node: 0, State: Draining, Started: math.Inf(-1)}}, false, false)
-	old.young[9] = session{token: 10.5, seen: 10.7}
+	old.young[9], old.old[7] = session{token: 10.5, seen: 10.7}, session{token: 10.5, seen: 10.7, out: 2}
+	old.sets[0].lat, old.sets[0].done = 40, 100
 	old.sets[0].floor, old.lat, old.warmRate = 9.5, 0.4, 50
 	s := testSite()
 	s.Groups = append(s.Groups[:1:1], s.Groups[gSession]) // other groups, in another order
@@ -27,10 +28,14 @@
 	assert.True(t, r.following)
 	assert.Zero(t, r.nodes[1].lat+r.nodes[1].done, "paces were of other commands")
 	assert.Zero(t, r.nodes[1].legs+r.nodes[1].unheard, "what is out ends at the old one")
-	assert.Zero(t, r.lat+r.warmRate)
+	assert.Zero(t, r.lat+r.warmRate+r.sets[0].lat+r.sets[0].done)
 	c := &Command{Group: 1, Session: 9, Arrived: 12, GiveUp: 14}
 	assert.Equal(t, 1, r.pick(12, c, &r.groups[1], r.session(9).seen), "it covers what the session has seen")
 	assert.Equal(t, 10.7, r.owed(12, c))
+	writes := &Command{Group: 1, Session: 7, Arrived: 12, GiveUp: 14}
+	assert.Equal(t, 12+old.longest, r.owed(12, writes), "a write that is out ends at the old one, in its client's time")
+	assert.Zero(t, r.session(7).out)
+	assert.EqualValues(t, 2, old.session(7).out)
 	other := &Command{Group: 1, Session: 4, Arrived: 12, GiveUp: 14}
 	assert.Equal(t, 9.5, r.owed(12, other), "nor is the floor lost")
 	old.nodes[1].pos, old.sets[0].nodes[0] = 0, 7
