--- a/internal/router/carry.go
+++ b/internal/router/carry.go
@@ -26,8 +26,8 @@
 	r.young, r.old, r.turnedAt = maps.Clone(from.young), maps.Clone(from.old), now
 	for _, sessions := range []map[uint64]session{r.young, r.old} {
 		for id, s := range sessions {
-			if s.out > 0 { // writes that are out end there, within the time of their clients
-				s.out, s.token = 0, max(s.token, now+from.longest)
+			if s.out > 0 { // those writes end there: a half stands for them until Heed finds none out
+				s.out = 0.5
 				sessions[id] = s
 			}
 		}
@@ -38,11 +38,13 @@
 // Heed takes over what another router of the process has just learnt of a command's session: its last
 // commands end there after the switch, and a read that is taken here must see what they wrote.
 func (r *Router) Heed(c *Command, from *Router) {
-	told := from.session(c.Session)
-	if math.IsInf(max(told.token, told.seen), -1) {
+	told, s := from.session(c.Session), r.session(c.Session)
+	if told.out == 0 {
+		s.out = math.Floor(s.out)
+	}
+	if s.out == r.session(c.Session).out && math.IsInf(max(told.token, told.seen), -1) {
 		return
 	}
-	s := r.session(c.Session)
 	s.token, s.seen = max(s.token, told.token), max(s.seen, told.seen)
 	r.young[c.Session] = s
 	r.sets[c.Set].top = max(r.sets[c.Set].top, s.token, s.seen)
