Test on real connections: a session reads beside its write that is out, and after it broke

The primary holds the answer back, then breaks the connection; the replica lacks the write until it is told otherwise.

--- a/cmd/stoatdale/crossing_test.go
+++ b/cmd/stoatdale/crossing_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"math"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/pg"
 )
 
 // Discovery goes silent with a call out, and returns just after the router has called again: what it has then binds
@@ -101,3 +107,54 @@
 	r.logged(`"generation":7`)
 	assert.Less(t, time.Since(began).Seconds(), math.Max(6, hold+2)+grace)
 }
+
+// A session reads while its write is at the primary, which holds its answer back, and again when that connection breaks
+// without one: the write may stand in the log, which the replica has not applied. Once it has, it is read again.
+func TestSessionReadGoesPastAReplicaThatMayLackItsWrite(t *testing.T) {
+	var applied atomic.Int64 // the replica's position, Unix milliseconds
+	applied.Store(time.Now().UnixMilli())
+	told := func(q, role string, at int64) []byte {
+		b := says(role)(q)
+		was := regexp.MustCompile(`lsn_ms\x00\d+`).Find(b)
+		return bytes.Replace(b, was, fmt.Appendf(nil, "lsn_ms\x00%d", at), 1)
+	}
+	breaks := make(chan struct{})
+	a := newMember(t, func(q string) []byte {
+		if strings.HasPrefix(q, "INSERT") {
+			<-breaks
+			return nil
+		}
+		return told(q, "off", time.Now().UnixMilli())
+	})
+	b := newMember(t, func(q string) []byte { return told(q, "on", applied.Load()) })
+	s := settings(false)
+	s["familyInfo"].(map[string]any)["needsByClass"] = []string{"causal", "mutate"}
+	r := startMore(t, map[string]any{"settings": s}, 0, entry(a, "a", "ready", "off"), entry(b, "b", "ready", "on"))
+	reads, writes := r.client(), r.client()
+	asked := func(m *member, what string) {
+		t.Helper()
+		assert.Contains(t, next(t, m.asked), what)
+		assert.Empty(t, a.asked)
+		assert.Empty(t, b.asked)
+	}
+	assert.Equal(t, "value of k7", reads.ask(look("k7")))
+	asked(b, "SELECT") // it has written nothing, and the position of b is known now
+
+	writes.send(pg.Query(nil, order("k7", 8000)))
+	asked(a, "INSERT")
+	assert.Equal(t, "value of k7", reads.ask(look("k7")))
+	asked(a, "SELECT")
+	assert.Equal(t, "value of other", reads.ask(look("other")))
+	asked(b, "SELECT") // another session's
+
+	close(breaks)
+	assert.Contains(t, writes.reply(), pg.CodeFailed)
+	assert.Equal(t, "value of k7", reads.ask(look("k7")))
+	asked(a, "SELECT")
+
+	applied.Store(time.Now().UnixMilli() + 1)
+	assert.Equal(t, "value of other", reads.ask(look("other")))
+	asked(b, "SELECT") // which tells what it holds now
+	assert.Equal(t, "value of k7", reads.ask(look("k7")))
+	asked(b, "SELECT")
+}
