That test told only the first part of the mend apart; now a session that read nothing meanwhile too

Without the part for writes that may have run it passed, since the read beside the write had left a seen mark. With a second session, which does not read while its write is out, it was seen failing without that part.

--- a/cmd/stoatdale/crossing_test.go
+++ b/cmd/stoatdale/crossing_test.go
@@ -147,10 +147,16 @@
 	assert.Equal(t, "value of other", reads.ask(look("other")))
 	asked(b, "SELECT") // another session's
 
-	close(breaks)
+	breaks <- struct{}{}
 	assert.Contains(t, writes.reply(), pg.CodeFailed)
-	assert.Equal(t, "value of k7", reads.ask(look("k7")))
-	asked(a, "SELECT")
+	writes.send(pg.Query(nil, order("k8", 8000))) // a session that read nothing meanwhile
+	asked(a, "INSERT")
+	breaks <- struct{}{}
+	assert.Contains(t, writes.reply(), pg.CodeFailed)
+	for _, key := range []string{"k7", "k8"} {
+		assert.Equal(t, "value of "+key, reads.ask(look(key)))
+		asked(a, "SELECT")
+	}
 
 	applied.Store(time.Now().UnixMilli() + 1)
 	assert.Equal(t, "value of other", reads.ask(look("other")))
