--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -229,6 +229,19 @@
 	assert.Contains(t, reply.Failure, "instance n: discovery:", "the router's own reader refuses it")
 }
 
+// The agent is so busy that it takes a process over when that has ended already.
+func TestLastWordsOfARouterThatEndsAtOnceAreReported(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	require.Empty(t, r.beginStep(r.push(testserver.Conduct{Exit: 3}, nil)))
+	var status protocol.InstanceStatus
+	for deadline := time.Now().Add(testTimeout); status.LastResult == rollout.StepPending && time.Now().Before(deadline); {
+		r.inEventLoop(func() { time.Sleep(50 * time.Millisecond) })
+		status = r.status()
+	}
+	assert.Contains(t, status.LastFailure, "it ended with status 3: stand-in: told to end")
+}
+
 func TestRouterIsKilledAfterItsDrainTimeout(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -42,7 +42,11 @@
 )
 
 // Store is an open store. Its methods may be called from several goroutines.
-type Store struct{ db *bbolt.DB }
+type Store struct {
+	db *bbolt.DB
+	// update runs a transaction: db.Update, but where a test has the disk fail.
+	update func(func(*bbolt.Tx) error) error
+}
 
 // State is what an agent needs to start: its lease, the pending request of an operator and its instances by name.
 type State struct {
@@ -77,7 +81,7 @@
 		_ = db.Close()
 		return nil, fmt.Errorf("store: %s: %w", path, err)
 	}
-	return &Store{db: db}, nil
+	return &Store{db: db, update: db.Update}, nil
 }
 
 // prepare creates the buckets that are missing and checks the format's version, or writes it to a new store.
@@ -125,7 +129,7 @@
 
 // Save writes a change in one transaction, and drops the oldest revisions and rollouts beyond MaxHistory.
 func (s *Store) Save(c Change) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		if err := saveState(tx, c); err != nil {
 			return err
 		}
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.etcd.io/bbolt"
+	"golang.org/x/sys/unix"
 
 	"stoatdale.example/stoatdale/internal/fleet/lease"
 	"stoatdale.example/stoatdale/internal/fleet/protocol"
@@ -159,3 +160,53 @@
 		require.NoError(t, s.Close())
 	}
 }
+
+// failSyncs has every transaction be written, and its sync fail: by then the pages lie in the system's cache, where this
+// process and the next one read them.
+func failSyncs(s *Store) {
+	s.update = func(run func(*bbolt.Tx) error) error {
+		if err := s.db.Update(run); err != nil {
+			return err
+		}
+		return unix.EIO
+	}
+}
+
+// A change whose sync failed was denied: it has not happened, neither for this process nor for the next, whether or not
+// the disk has recovered by then.
+func TestChangeWhoseSyncFailedHasNotHappened(t *testing.T) {
+	for name, recovers := range map[string]bool{"the disk stays broken": false, "the disk recovers": true} {
+		path := filepath.Join(t.TempDir(), "store.db")
+		s, err := Open(path)
+		require.NoError(t, err)
+		require.NoError(t, s.Save(change(1)))
+		failSyncs(s)
+		denied := change(2)
+		denied.OperatorRequest = &protocol.OperatorRequest{RolloutID: "r", Action: rollout.RequestPause}
+		denied.Rollout = &protocol.Rollout{Rollout: rollout.Rollout{ID: "denied"}}
+		denied.Revision = &protocol.Revision{Digest: "denied"}
+		require.ErrorIs(t, s.Save(denied), unix.EIO)
+		require.ErrorIs(t, s.Save(denied), unix.EIO, "twice in a row")
+		if recovers {
+			s.update = s.db.Update
+			require.NoError(t, s.Save(Change{Instances: map[string]supervisor.Record{"n2": {Incarnation: 5}}}))
+		}
+		for range 2 {
+			state, err := s.Load()
+			require.NoError(t, err)
+			assert.Equal(t, *change(1).Lease, state.Lease, name)
+			assert.Equal(t, change(1).Instances["n1"], state.Instances["n1"], name)
+			assert.Empty(t, state.OperatorRequest, name)
+			rollouts, err := s.Rollouts()
+			require.NoError(t, err)
+			assert.Empty(t, rollouts, name)
+			_, found, err := s.Revision("denied")
+			require.NoError(t, err)
+			assert.False(t, found, name)
+			require.NoError(t, s.Close())
+			s, err = Open(path) // the next process
+			require.NoError(t, err)
+		}
+		require.NoError(t, s.Close())
+	}
+}
--- a/internal/router/slowstart_test.go
+++ b/internal/router/slowstart_test.go
@@ -63,3 +63,44 @@
 	assert.Greater(t, float64(sent), 0.7*capacity)
 	assert.Less(t, float64(sent), 1.3*capacity, "half of the overload factor, which is 2")
 }
+
+// In a burst warm endpoints are sent several times what they can do, and turn the rest away: an endpoint in slow start
+// that was paced by what they are sent fell at 2.2 times its capacity.
+func TestSlowStartIsPacedByWhatWarmEndpointsAnswer(t *testing.T) {
+	const interval, answeredOf = 0.01, 4 // seconds between attempts at each warm endpoint, which answers one in four
+	r := testRouter(t, testConfig())
+	now := 10.0
+	for n := range 2000 {
+		now += interval
+		for i := range 3 {
+			sendAndEnd(r, now, i, n%answeredOf == 0)
+		}
+		r.Maintain(now)
+	}
+	answered := 1 / (interval * answeredOf) // a second, by each of three endpoints
+	r.UpdateEndpoints(now, []EndpointInfo{{Index: 3, State: Ready, StartedAt: now}}, false, false)
+	sent := 0.0
+	for at := now; at < now+r.config.OverloadWindow; at += 0.002 {
+		if r.slowStartAdmits(at, 3) {
+			r.forward(at, newCommand(eventualReads), &r.groups[eventualReads], 3, false)
+			sent++
+		}
+	}
+	share := r.config.SlowStartFloor + (1-r.config.SlowStartFloor)*r.config.OverloadWindow/r.config.SlowStart
+	allowed := r.config.OverloadFactor * share * answered * r.config.OverloadWindow
+	assert.Positive(t, sent)
+	assert.LessOrEqual(t, sent, allowed)
+}
+
+// sendAndEnd has an endpoint get an attempt and answer it, or turn it away.
+func sendAndEnd(r *Router, now float64, i int, answered bool) {
+	c := newCommand(eventualReads)
+	g := &r.groups[eventualReads]
+	c.ArrivedAt, c.ClientDeadline = now, now+2
+	r.forward(now, c, g, i, false)
+	result := AttemptResult{Result: Overloaded, Elapsed: 0.001, Final: true, Position: -1}
+	if answered {
+		result = AttemptResult{Result: Answered, Elapsed: 0.04, Final: true, Position: -1}
+	}
+	r.AttemptEnded(now+result.Elapsed, c, result)
+}
