Agent reads a router's log from its start on, not from when it took it over

Cause: adopt measured the log's length after the start, in the agent's goroutine; a router that ended before that had its last words skipped, so that an operator was not told why (once in the test suite, 'it ended with status 3' without the words). launch notes the length before it starts the process.

--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -338,7 +338,7 @@
 func TestLogIsReadByLinesAndRotated(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "log")
 	require.NoError(t, os.WriteFile(path, []byte("old\n"), 0o600))
-	tl := newLogTail(path)
+	tl := newLogTail(path, int64(len("old\n")))
 	f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(t, err)
 	defer func() { _ = f.Close() }()
--- a/internal/fleet/agent/logtail.go
+++ b/internal/fleet/agent/logtail.go
@@ -36,14 +36,8 @@
 	lastError string // the last line that reports a fault
 }
 
-// newLogTail returns a reader that starts at the present end of the log.
-func newLogTail(path string) *logTail {
-	t := &logTail{path: path}
-	if info, err := os.Stat(path); err == nil {
-		t.offset = info.Size()
-	}
-	return t
-}
+// newLogTail returns a reader that starts at an offset of the log.
+func newLogTail(path string, offset int64) *logTail { return &logTail{path: path, offset: offset} }
 
 // read hands out the events since the last call. A log above maxLogBytes is rotated.
 func (t *logTail) read(emit func(logEvent)) error {
--- a/internal/fleet/agent/process.go
+++ b/internal/fleet/agent/process.go
@@ -24,6 +24,8 @@
 type processHandle struct {
 	pid int
 	fd  int // a pidfd: it stands for this process also after its number is used again
+
+	logStart int64 // offset in the log from which on the agent reads what the process writes
 }
 
 // launch starts a router that outlives the agent: in a session of its own, with its output in a file of its folder.
@@ -33,6 +35,10 @@
 		return nil, err
 	}
 	defer func() { _ = log.Close() }()
+	before, err := log.Stat() // before the start: a process that ends at once has had its last words by then
+	if err != nil {
+		return nil, err
+	}
 	null, err := os.Open(os.DevNull)
 	if err != nil {
 		return nil, err
@@ -54,7 +60,7 @@
 		_, _ = process.Wait()
 		return nil, fmt.Errorf("pidfd: %w", err)
 	}
-	handle := &processHandle{pid: process.Pid, fd: fd}
+	handle := &processHandle{pid: process.Pid, fd: fd, logStart: before.Size()}
 	_ = process.Release()
 	return handle, nil
 }
--- a/internal/fleet/agent/router.go
+++ b/internal/fleet/agent/router.go
@@ -158,6 +158,9 @@
 		if number != 0 { // else none was ever started
 			process, err = findRestarted(ctx, r.incarnation(number))
 		}
+		if process != nil {
+			process.logStart = r.logSize() // what it wrote before was an earlier agent's to read
+		}
 		if err != nil {
 			a.log.Error().Err(err).Str("instance", r.instance.Name).Msg("process not looked for")
 		}
--- a/internal/fleet/agent/watch.go
+++ b/internal/fleet/agent/watch.go
@@ -27,6 +27,15 @@
 	return findRunning(incarnation)
 }
 
+// logSize returns the present size of the router's log; 0 if there is none.
+func (r *router) logSize() int64 {
+	info, err := os.Stat(filepath.Join(r.folder, logName))
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 // adopt takes a process over and watches it; nil stands for none.
 func (r *router) adopt(ctx context.Context, process *processHandle) {
 	r.process = process
@@ -35,7 +44,7 @@
 	}
 	a := r.agent
 	a.log.Info().Str("instance", r.instance.Name).Int("process", process.pid).Msg("process adopted")
-	log := newLogTail(filepath.Join(r.folder, logName))
+	log := newLogTail(filepath.Join(r.folder, logName), process.logStart)
 	a.work.Go(func() { r.watch(ctx, process, log) })
 }
 
