Slow start is paced by the work that warm endpoints answer, and charged by work

Cause: slowStartAdmits granted a share of what warm endpoints are sent (updateFleet, attemptSum); in the burst that is over twice what they can do, while what they answer never is. Ruled out: the number of routers (32, told right), late lists (none in the window), one endpoint sized differently (one kind).

Change: grants follow servedSum, the work of answers in commands of the mean service time, or attempts if those are fewer; an attempt costs its group's work and one command at least, and what is owed comes off the next grant.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -34,6 +34,7 @@
 	e := &r.endpoints[i]
 	r.decay(now, e)
 	c.Attempts = append(c.Attempts, e.startAttempt(now, i, r.expectedWork(g)))
+	r.chargeSlowStart(now, e, g)
 	r.recordSession(c, g, 1, math.Inf(-1))
 	r.countRead(now, c, g, fallback)
 	overdue := min(r.silenceTimeout(e), lostFactor*r.predictedResponse(i, g))
@@ -213,6 +214,7 @@
 	}
 	e.resultSum++
 	e.answeredAt = now
+	e.servedSum += r.relativeWork(g)
 	r.recordServiceTime(now, g, end.Elapsed)
 	if !r.isHeavy(g) {
 		r.recordFleetLatency(g, a, end.Elapsed)
--- a/internal/router/latency.go
+++ b/internal/router/latency.go
@@ -50,6 +50,12 @@
 	return cmp.Or(g.serviceTime, assumedServiceShare*g.LatencyObjective)
 }
 
+// relativeWork is a group's expected work in commands of the mean service time.
+func (r *Router) relativeWork(g *group) float64 {
+	work := r.expectedWork(g)
+	return work / cmp.Or(r.serviceTime, work)
+}
+
 // decay lets the sums of an endpoint and of its shard decay, and those of its health quicker.
 func (r *Router) decay(now float64, e *endpoint) {
 	e.decay(now, r.decayTime, r.decayTime/decayObjectives)
--- a/internal/router/maintenance.go
+++ b/internal/router/maintenance.go
@@ -87,7 +87,7 @@
 // updateFleet brings up to date what is known of the fleet as a whole, and the queue limits.
 func (r *Router) updateFleet(now float64) {
 	var failureShares []float64
-	var rate, warm, ejected float64
+	var rate, throughput, warm, ejected float64
 	for i := range r.endpoints {
 		e := &r.endpoints[i]
 		if !r.eligible(e) {
@@ -99,6 +99,7 @@
 			ejected++
 		} else if now-e.startedAt >= r.config.SlowStart {
 			rate += e.attemptSum / r.decayTime
+			throughput += min(e.attemptSum, e.servedSum) / r.decayTime
 			warm++
 		}
 	}
@@ -106,7 +107,9 @@
 		r.medianFailureShare = median(failureShares)
 	}
 	if warm > 0 { // it falls no faster than an endpoint warms up: where most are ejected little is sent
-		r.warmRate = max(rate/warm, r.warmRate*(1-r.reviewInterval/r.config.SlowStart))
+		kept := 1 - r.reviewInterval/r.config.SlowStart
+		r.warmRate = max(rate/warm, r.warmRate*kept)
+		r.warmThroughput = max(throughput/warm, r.warmThroughput*kept)
 	}
 	r.updateIntervals(float64(len(failureShares)), ejected)
 	r.favourWorstGroup()
--- a/internal/router/migration.go
+++ b/internal/router/migration.go
@@ -37,7 +37,7 @@
 // resetTraffic forgets what is in flight and what was learned of latencies.
 func (e *endpoint) resetTraffic() {
 	e.queued, e.inFlight, e.unanswered = 0, 0, 0
-	e.attemptSum = 0
+	e.attemptSum, e.servedSum = 0, 0
 	e.latencySum, e.queueSum, e.answerSum = 0, 0, 0
 }
 
--- a/internal/router/slowstart_test.go
+++ b/internal/router/slowstart_test.go
@@ -9,7 +9,7 @@
 func TestEndpointInSlowStartHasABudget(t *testing.T) {
 	r := testRouter(t, testConfig())
 	r.endpoints[1].startedAt, r.endpoints[1].slowStartBudgetAt = 10, 10
-	r.warmRate = 10
+	r.warmThroughput = 10
 	sent := 0
 	for at := 10.0; at < 12; at += 0.01 {
 		if r.slowStartAdmits(at, 1) {
@@ -17,7 +17,7 @@
 			sent++
 		}
 	}
-	most := r.config.OverloadFactor * r.config.SlowStartFloor * r.warmRate * r.config.OverloadWindow
+	most := r.config.OverloadFactor * r.config.SlowStartFloor * r.warmThroughput * r.config.OverloadWindow
 	assert.Positive(t, sent)
 	assert.LessOrEqual(t, float64(sent), most, "over one fall span")
 }
@@ -30,7 +30,7 @@
 		s.RouterCount = many
 		r := New(s, seedOf(seed))
 		r.UpdateEndpoints(10, []EndpointInfo{{State: Ready, StartedAt: 9}}, true, false)
-		r.warmRate = 0.1
+		r.warmThroughput = 0.1
 		for at := 10.0; at < 12; at += 0.1 {
 			if r.slowStartAdmits(at, 0) {
 				r.endpoints[0].slowStartBudget--
@@ -104,3 +104,20 @@
 	}
 	r.AttemptEnded(now+result.Elapsed, c, result)
 }
+
+// What costs several times the mean takes as much of the budget, and what is owed beyond it comes off the next.
+func TestHeavyCommandsTakeMoreOfTheSlowStartBudget(t *testing.T) {
+	r := testRouter(t, testConfig())
+	e := &r.endpoints[1]
+	e.startedAt, r.serviceTime, r.warmThroughput = 10, 0.5, 2
+	r.groups[eventualReads].serviceTime, r.groups[boundedReads].serviceTime = 2.5, 0.1
+	e.slowStartBudget, e.slowStartBudgetAt = 2, 10
+	r.chargeSlowStart(10, e, &r.groups[boundedReads])
+	assert.InDelta(t, 1, e.slowStartBudget, 1e-9, "a light one counts as one")
+	r.chargeSlowStart(10, e, &r.groups[eventualReads])
+	assert.InDelta(t, -4, e.slowStartBudget, 1e-9)
+	assert.False(t, r.slowStartAdmits(10.5, 1))
+	assert.InDelta(t, -3.5, e.slowStartBudget, 0.51, "one more at the most is granted, and owed")
+	r.chargeSlowStart(25, e, &r.groups[eventualReads])
+	assert.InDelta(t, -3.5, e.slowStartBudget, 0.51, "a warm endpoint has no budget")
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -60,11 +60,12 @@
 	unanswered        int     // attempts since its last answer
 	unansweredWork    float64 // sum of their service times
 	unansweredSince   float64 // when the first of them was sent
-	decayedAt         float64 // the time that the following six sums hold for
+	decayedAt         float64 // the time that the following seven sums hold for
 	latencySum        float64 // answer times,
 	queueSum          float64 // queue positions
 	answerSum         float64 // and number of answers
 	attemptSum        float64 // attempts
+	servedSum         float64 // work that it answered, in commands of the mean service time
 	failureSum        float64 // failures
 	resultSum         float64 // results, failures included
 	answeredAt        float64 // last answer
@@ -72,7 +73,7 @@
 	recoveryAt        float64 // when it is due for a recovery attempt
 	roleTestAt        float64 // when a write may test again whether it is the primary
 	checkedAt         float64 // last health check that was asked for
-	slowStartBudget   float64 // attempts that it may still get while it warms up,
+	slowStartBudget   float64 // commands of the mean service time that it may still get while it warms up; below 0: owed,
 	slowStartBudgetAt float64 // and when those were granted
 	overloadedAt      float64 // last time that it turned a command away as overloaded
 	unreachableSince  float64 // first failed contact since its last answer; positive infinity: none
@@ -116,7 +117,8 @@
 	answers            float64 // and the number of answers that they are taken from
 	medianFailureShare float64 // of the endpoints
 	connectCost        float64 // what a new connection adds to an answer time
-	warmRate           float64 // attempts per second to an endpoint that is warm
+	warmRate           float64 // attempts per second to an endpoint that is warm,
+	warmThroughput     float64 // and what it answers of them, in commands of the mean service time
 	commands           float64 // decaying number of commands
 
 	checkInterval    float64 // between two health checks of an endpoint that is not heard of,
@@ -189,6 +191,7 @@
 	e.queueSum *= factor
 	e.answerSum *= factor
 	e.attemptSum *= factor
+	e.servedSum *= factor
 	factor = math.Exp((e.decayedAt - now) / healthTime)
 	e.failureSum *= factor
 	e.resultSum *= factor
@@ -268,7 +271,6 @@
 	e.queued++
 	e.inFlight++
 	e.attemptSum++
-	e.slowStartBudget = max(0, e.slowStartBudget-1)
 	return a
 }
 
