--- /dev/null
+++ b/cmd/stoatdale/syscalls_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"stoatdale.example/stoatdale/internal/pg"
+)
+
+// limitDescriptors lets the program open no descriptor beyond those that it has, or any number.
+func (r *testRouter) limitDescriptors(unlimited bool) {
+	r.t.Helper()
+	limit := unix.Rlimit{Cur: testSockets, Max: testSockets * 4}
+	if !unlimited {
+		limit.Cur = 0 // becomes the lowest number that is free
+		for isOpen := true; isOpen; limit.Cur++ {
+			_, err := os.Lstat(fmt.Sprintf("/proc/%d/fd/%d", r.cmd.Process.Pid, limit.Cur+1))
+			isOpen = err == nil
+		}
+	}
+	require.NoError(r.t, unix.Prlimit(r.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+}
+
+// For a moment the system gives the router no descriptor. The command waits that out: nothing has been sent, and no
+// endpoint has failed.
+func TestCommandOutlastsALackOfDescriptors(t *testing.T) {
+	b := newTestBackend(t, answerAs("off"))
+	r := startRouter(t, listEntry(b, "b", "ready", "off"))
+	client := r.connect()
+	r.limitDescriptors(false)
+	client.send(pg.AppendQuery(nil, writeStatement("w", 3000)))
+	time.Sleep(300 * time.Millisecond)
+	r.limitDescriptors(true)
+	assert.Equal(t, "value of w", client.readReply())
+	results := r.counters()["attempt_results"].(map[string]any)
+	assert.Zero(t, results["connect_failed"])
+	assert.Len(t, b.statements, 1)
+}
+
+// No descriptor is left for a new client while others are idle and in flight: those in flight are answered, and new
+// clients are accepted as soon as one is free.
+func TestClientsInFlightSurviveALackOfDescriptors(t *testing.T) {
+	release := make(chan struct{})
+	b := newTestBackend(t, func(q string) []byte { <-release; return answerAs("on")(q) })
+	r := startRouter(t, listEntry(b, "b", "ready", "on"))
+	client := r.connect()
+	client.send(pg.AppendQuery(nil, readStatement("k")))
+	receive(t, b.statements)
+	r.limitDescriptors(false)
+	waiting := r.dial() // completes in the backlog
+	waiting.send(append(pg.AppendStartupMessage(nil), pg.AppendQuery(nil, "")...))
+	time.Sleep(200 * time.Millisecond)
+	close(release)
+	assert.Equal(t, "value of k", client.readReply())
+	r.limitDescriptors(true)
+	assert.Empty(t, waiting.readReply(), "the welcome")
+	assert.Equal(t, "EMPTY", waiting.readReply())
+}
--- a/cmd/stoatdale/testbackend_test.go
+++ b/cmd/stoatdale/testbackend_test.go
@@ -24,6 +24,7 @@
 	statements chan string   // every statement but health checks, in order
 	closed     chan struct{} // one value for each connection that has ended
 	answer     answerFunc
+	position   func() time.Time // that it reports to health checks
 }
 
 // newTestBackend serves until the test ends.
@@ -38,6 +39,7 @@
 		statements: make(chan string, most),
 		closed:     make(chan struct{}, most),
 		answer:     answer,
+		position:   time.Now,
 	}
 	go func() {
 		for {
@@ -74,7 +76,7 @@
 // reply answers a health check, or a statement as the test says.
 func (b *testBackend) reply(statement string) []byte {
 	if statement == "SHOW health" {
-		position := float64(time.Now().UnixMilli()) / 1000
+		position := float64(b.position().UnixMilli()) / 1000
 		return rowAnswer(fmt.Sprintf("x0=%.3f,x1=0", position), "on")
 	}
 	b.statements <- statement
@@ -102,12 +104,16 @@
 	return head[0], body, err
 }
 
-// rowAnswer is an answer of one value, with the backend's log position and whether it is in recovery: "on" or "off".
-func rowAnswer(value, recovery string) []byte {
+// rowAnswer is an answer of one value, with the present as the backend's log position and whether it is in recovery: "on"
+// or "off".
+func rowAnswer(value, recovery string) []byte { return rowAnswerAt(time.Now(), value, recovery) }
+
+// rowAnswerAt is a rowAnswer with another log position.
+func rowAnswerAt(position time.Time, value, recovery string) []byte {
 	b := pg.AppendMessage(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
 	b = pg.AppendMessage(b, 'D', binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(value))), []byte(value))
 	b = pg.AppendMessage(b, 'C', []byte("SELECT 1\x00"))
-	b = pg.AppendParameterStatus(b, "lsn_ms", fmt.Sprint(time.Now().UnixMilli()))
+	b = pg.AppendParameterStatus(b, "lsn_ms", fmt.Sprint(position.UnixMilli()))
 	return pg.AppendReadyForQuery(pg.AppendParameterStatus(b, "recovery", recovery))
 }
 
