Late attempts, lacking descriptors, told times and a stepped wall clock

Five faults of the network code, each by its cause: - A client that left in a turn was heard after what else was ready in it (eventloop.Run), and a turn that was held up sent what it had gathered: an attempt could begin 0.15 s after the close. Hang-ups of clients come first; before the first byte of an attempt, and before the rest of one, Dispatcher.Wanted asks for the client, by the socket itself where the turn is older than 10 ms. - A connection that was being made when its endpoint began to drain took its attempt when it came up, later by the time for connecting, on top of a held-up turn. It is ended with the list, and the command routed anew at once. - A statement told what was left at the turn's time, and could be complete any time later where a socket took it in parts. The clock is read before the writing; what is not written within 0.1 s never is; long statements tell 0.1 s less. - A connection that this machine could not open (no descriptor, port, memory or route) counted as the endpoint's failure and as an attempt, several within one turn. It is NeverSent: no blame, no attempt, tried again after 10 ms and more. A canceled attempt whose last byte was not written is NeverSent too: clients that left had endpoints ejected. Errors that accept hands on from a connection in the backlog (EPROTO, ENETDOWN, EHOSTUNREACH and so on) no longer end another client's connection. - Others' Unix times were converted by the wall clock of the start. Positions in answers and reports set the clock when two agree on another time and are apart in time; a primary that is cut off and stands still contradicts itself. No position counts while the clock is in doubt, nor before a primary has confirmed it, 1 s at the most.

Tests that changed with the behaviour, each as strict: a canceled attempt before its last byte is NeverSent in place of ConnectFailed; so is a check for want of a descriptor; NeverSent waits before it is forwarded, which the test now follows to the forwarding; a report half a second in the future stands for no later one any more.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -8,6 +8,8 @@
 	"stoatdale.example/stoatdale/internal/router"
 )
 
+const millisecondsPerSecond = 1000
+
 // Attempt is one sending of a command to one backend. The caller fills the exported fields and must not change them
 // until the attempt has ended. Times are in seconds on the event loop's clock.
 type Attempt struct {
@@ -28,9 +30,9 @@
 func (p *Pool) Send(attempt *Attempt) {
 	p.counters.Attempts++
 	attempt.sentAt = p.loop.Now()
-	c := p.acquire(attempt.Endpoint)
+	c, failure := p.acquire(attempt.Endpoint)
 	if c == nil {
-		p.results.AttemptEnded(attempt, router.ConnectFailed, 0, nil)
+		p.results.AttemptEnded(attempt, failure, 0, nil)
 		return
 	}
 	attempt.conn = c
@@ -54,8 +56,12 @@
 // of it: in milliseconds, 1 at the least.
 func (c *conn) writeStatement(now float64) {
 	a := c.attempt
-	waitMs := strconv.Itoa(max(1, int((a.Deadline-now)*1000)))
 	length := a.Statement.Len()
+	left := a.Deadline - now
+	if length > c.pool.limits.Sizes.BufferBlock { // the socket may take it in parts
+		left -= c.pool.limits.Durations.StatementWriteTimeout
+	}
+	waitMs := strconv.Itoa(max(1, int(left*millisecondsPerSecond)))
 	c.output.Write(pg.AppendQueryHeader(nil, length-(a.WaitEnd-a.WaitStart)+len(waitMs)))
 	a.Statement.CopyTo(&c.output, 0, a.WaitStart)
 	c.output.Write([]byte(waitMs))
--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -42,7 +44,7 @@
 	assert.Zero(t, f.pool.ConnectionCount())
 }
 
-func TestCanceledAttemptIsConnectFailedUntilItsLastByteIsWritten(t *testing.T) {
+func TestCanceledAttemptIsNeverSentUntilItsLastByteIsWritten(t *testing.T) {
 	f := newFixture(t)
 	long := f.send("d=99"+string(make([]byte, 32<<20)), distantDeadline)
 	c := f.accept()
@@ -55,7 +57,7 @@
 	f.receive(c, 5)
 	require.False(t, short.Unsent())
 	f.pool.Cancel(short)
-	assert.Equal(t, []router.Result{router.ConnectFailed, router.Canceled}, f.results)
+	assert.Equal(t, []router.Result{router.NeverSent, router.Canceled}, f.results, "which blames no endpoint")
 	_, err := io.Copy(io.Discard, c)
 	require.NoError(t, err, "the connection was closed at once")
 	assert.Zero(t, f.pool.ConnectionCount())
@@ -107,3 +109,59 @@
 	assert.Equal(t, router.ConnectionLost, f.results[0], "an incomplete answer is not passed on")
 	assert.Empty(t, f.values)
 }
+
+// The router was held up between its poll and the sending: the statement says what is left by then.
+func TestStatementTellsWhatIsLeftAfterALongTurn(t *testing.T) {
+	f := newFixture(t)
+	f.send("d=99", 1000)
+	c := f.accept()
+	f.receive(c, len(pg.AppendQuery(nil, "d=999999")))
+	_, _ = c.Write(answer("one"))
+	f.run(f.hasResults(1))
+	deadline := f.loop.Clock() + 1
+	f.run(func() bool { return true })
+	time.Sleep(200 * time.Millisecond)
+	f.send("d=99", deadline)
+	got := f.receive(c, len(pg.AppendQuery(nil, "d=999")))
+	assert.Regexp(t, `d=[67]\d\d\x00$`, got)
+}
+
+// A backend reads slowly: what a statement says of the time left would be over long before its last byte came.
+func TestStatementThatIsTakenTooSlowlyIsNeverComplete(t *testing.T) {
+	f := newFixture(t)
+	f.pool.limits.Durations.StatementWriteTimeout = 0.1
+	f.send("d=99"+string(make([]byte, 32<<20)), distantDeadline)
+	c := f.accept()
+	f.receive(c, 5)
+	f.run(f.hasResults(1))
+	assert.Equal(t, []router.Result{router.ConnectFailed}, f.results, "it has not run")
+	read, err := io.Copy(io.Discard, c)
+	require.NoError(t, err)
+	assert.Less(t, read, int64(32<<20))
+}
+
+// The client left while its attempt's connection came up, or while the statement was being written.
+func TestAttemptWhoseClientHasLeftIsNotWritten(t *testing.T) {
+	f := newFixture(t)
+	f.send("d=99", distantDeadline)
+	f.unwanted = true
+	c := f.accept()
+	f.run(f.hasResults(1))
+	assert.Equal(t, []router.Result{router.NeverSent}, f.results)
+	f.unwanted = false
+	f.send("d=98", distantDeadline)
+	assert.Contains(t, f.receive(c, 10), "d=", "the connection was kept, and the first statement never came on it")
+	assert.EqualValues(t, 1, f.counters.BackendConnects)
+}
+
+// No connection was made for reasons of this machine, or of the endpoint.
+func TestLocalFailureIsNotTheEndpoints(t *testing.T) {
+	f := newFixture(t)
+	f.pool.limits.Counts.BackendConnections = 0
+	f.send("d=99", distantDeadline)
+	f.pool.CheckHealth(0)
+	f.pool.SetAddress(1, netip.AddrPort{}, false)
+	f.pool.Send(&Attempt{Endpoint: 1})
+	assert.Equal(t, []router.Result{router.NeverSent, router.ConnectFailed}, f.results)
+	assert.Equal(t, []router.Result{router.NeverSent}, f.checks)
+}
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -35,6 +35,7 @@
 	checking       bool      // it carries a health check
 	checkStartedAt float64
 	idleSince      float64
+	writeDeadline  float64 // when the statement that is being written must be complete
 	timer          *eventloop.Timer
 }
 
@@ -58,22 +59,44 @@
 // start sends what the connection carries if it is ready. Otherwise it limits the time for becoming ready, after which
 // start is called again.
 func (c *conn) start() {
-	now := c.pool.loop.Now()
+	now := c.pool.loop.Clock()
 	deadline := c.deadline()
 	if c.state != stateIdle {
 		c.pool.loop.SetTimer(c.timer, min(deadline, now+c.pool.limits.Durations.ConnectTimeout))
 		return
 	}
-	c.pool.loop.SetTimer(c.timer, deadline)
+	if !c.isWanted() {
+		c.endUnsent()
+		return
+	}
+	// The statement says how long its client waits, so it must not be held back for long.
+	c.pool.loop.SetTimer(c.timer, min(deadline, now+c.pool.limits.Durations.StatementWriteTimeout))
 	c.state = stateSending
 	if c.checking {
 		c.output.Write(pg.AppendQuery(nil, healthQuery))
 	} else {
 		c.writeStatement(now)
 	}
+	c.writeDeadline = now + c.pool.limits.Durations.StatementWriteTimeout
 	c.flush()
 }
 
+// isWanted reports whether what the connection carries is still to be written: a health check, or an attempt whose time
+// has not run out and whose client is there.
+func (c *conn) isWanted() bool {
+	return c.attempt == nil || c.pool.loop.Clock() < c.attempt.Deadline && c.pool.results.Wanted(c.attempt)
+}
+
+// endUnsent ends an attempt before anything of it was written, and keeps the connection.
+func (c *conn) endUnsent() {
+	now := c.pool.loop.Now()
+	attempt := c.attempt
+	c.attempt = nil
+	attempt.conn = nil
+	c.returnToPool(now)
+	c.pool.results.AttemptEnded(attempt, router.NeverSent, now-attempt.sentAt, nil)
+}
+
 // deadline is when what the connection carries times out.
 func (c *conn) deadline() float64 {
 	if c.attempt != nil {
@@ -90,6 +113,7 @@
 	}
 	if c.output.Len() == 0 && c.state == stateSending {
 		c.state = stateAwaitingAnswer
+		c.pool.loop.SetTimer(c.timer, c.deadline())
 	}
 	c.pool.loop.SetInterest(c.fd, true, c.output.Len() > 0)
 }
@@ -109,13 +133,23 @@
 		return
 	}
 	if writable && c.output.Len() > 0 {
-		c.flush()
+		c.continueWriting()
 	}
 	if readable && c.state != stateClosed {
 		c.read()
 	}
 }
 
+// continueWriting writes more of what the socket did not take at once. The rest of a statement whose client has left, or
+// that says a time which is over by now, is never written: it has not run.
+func (c *conn) continueWriting() {
+	if c.state == stateSending && (!c.isWanted() || c.pool.loop.Clock() >= c.writeDeadline) {
+		c.fail(router.NeverSent)
+		return
+	}
+	c.flush()
+}
+
 // read takes in what has come of an answer.
 func (c *conn) read() {
 	sizes := &c.pool.limits.Sizes
@@ -165,6 +199,7 @@
 		c.fail(router.ConnectFailed)
 	default:
 		c.state = stateIdle
+		c.pool.endpoints[c.endpoint].opened(c)
 		c.start()
 	}
 }
@@ -211,10 +246,10 @@
 }
 
 // fail closes the connection and reports a result for what it carried. Whatever the reason, a query whose last byte was
-// not written has not run: it is reported as ConnectFailed here, and nowhere else.
+// not written has not run: it is reported as ConnectFailed here, or as NeverSent if that was this router's own doing.
 func (c *conn) fail(result router.Result) {
-	if c.state != stateAwaitingAnswer && result != router.Overloaded {
-		result = router.ConnectFailed
+	if c.state != stateAwaitingAnswer {
+		result = unsentResult(result)
 	}
 	if c.state == stateConnecting || c.state == stateStartup {
 		c.pool.counters.BackendConnectFailures++
@@ -232,13 +267,28 @@
 	}
 }
 
+// unsentResult is the result of a query whose last byte was not written, which would else have had the given one.
+func unsentResult(result router.Result) router.Result {
+	switch result {
+	case router.Overloaded, router.NeverSent:
+		return result
+	case router.Canceled:
+		return router.NeverSent
+	default:
+		return router.ConnectFailed
+	}
+}
+
 // close closes the connection without reporting anything.
 func (c *conn) close() {
-	if c.state == stateClosed {
+	switch c.state {
+	case stateClosed:
 		return
-	}
-	if c.state == stateIdle {
+	case stateIdle:
 		c.pool.endpoints[c.endpoint].remove(c)
+	case stateConnecting, stateStartup:
+		c.pool.endpoints[c.endpoint].opened(c)
+	case stateSending, stateAwaitingAnswer:
 	}
 	c.state = stateClosed
 	c.pool.connections--
--- a/internal/backend/health_check.go
+++ b/internal/backend/health_check.go
@@ -12,10 +12,10 @@
 // CheckHealth returns, unless the endpoint's row is released first.
 func (p *Pool) CheckHealth(index int) {
 	p.counters.HealthChecks++
-	c := p.acquire(index)
+	c, failure := p.acquire(index)
 	if c == nil {
 		p.counters.HealthChecksFailed++
-		p.results.HealthChecked(index, router.ConnectFailed, 0, "")
+		p.results.HealthChecked(index, failure, 0, "")
 		return
 	}
 	c.checking = true
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -29,6 +29,7 @@
 	values   []string        // of answers to attempts
 	checks   []router.Result // of health checks
 	reports  []string        // of health checks
+	unwanted bool            // the commands of attempts have lost their clients
 }
 
 // AttemptEnded implements ResultHandler.
@@ -40,6 +41,9 @@
 	}
 }
 
+// Wanted implements ResultHandler.
+func (f *fixture) Wanted(*Attempt) bool { return !f.unwanted }
+
 // HealthChecked implements ResultHandler.
 func (f *fixture) HealthChecked(_ int, result router.Result, _ float64, report string) {
 	f.checks = append(f.checks, result)
@@ -68,13 +72,13 @@
 	require.NoError(t, err)
 	limits := &config.Limits{
 		Sizes: config.Sizes{
-			ReadPerTurn: 1 << 16, BackendMessage: 1 << 17, InspectedMessage: 1 << 10,
+			ReadPerTurn: 1 << 16, BackendMessage: 1 << 17, InspectedMessage: 1 << 10, BufferBlock: 4 << 10,
 		},
 		Counts: config.Counts{
 			BackendConnections: 4,
 		},
 		Durations: config.Durations{
-			ConnectTimeout: 30, HealthCheckTimeout: 30, BackendIdleTimeout: 60,
+			ConnectTimeout: 30, HealthCheckTimeout: 30, BackendIdleTimeout: 60, StatementWriteTimeout: 30,
 		},
 	}
 	f.pool = New(f.loop, limits, f.blocks, f, &f.counters)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -22,6 +22,9 @@
 	// AttemptEnded reports the result of an attempt. The answer is nil unless the backend sent a complete one; its Row
 	// is the receiver's to free.
 	AttemptEnded(attempt *Attempt, result router.Result, elapsed float64, answer *pg.Answer)
+	// Wanted is asked just before an attempt's statement is written, or the rest of it: it reports whether the command
+	// still has its client.
+	Wanted(attempt *Attempt) bool
 	// HealthChecked reports the result of a health check; report is empty unless the result is router.Answered.
 	HealthChecked(endpoint int, result router.Result, elapsed float64, report string)
 }
@@ -41,6 +44,7 @@
 type endpoint struct {
 	address    netip.AddrPort // invalid: not known
 	idle       []*conn        // the one used last comes last
+	opening    []*conn        // are being made for an attempt or a health check
 	generation int            // how often the row was released to be used for another endpoint
 }
 
@@ -70,12 +74,20 @@
 	}
 }
 
+// StopOpening ends the connections to an endpoint that are still being made: it takes nothing new any more. What they
+// were made for is reported as router.NeverSent.
+func (p *Pool) StopOpening(index int) {
+	for _, c := range slices.Clone(p.endpoints[index].opening) {
+		c.fail(router.NeverSent)
+	}
+}
+
 // Release empties an endpoint's row, which another endpoint may get. Connections that are busy finish what they carry
 // and are closed then.
 func (p *Pool) Release(index int) {
 	e := &p.endpoints[index]
 	e.closeIdle()
-	*e = endpoint{generation: e.generation + 1}
+	*e = endpoint{generation: e.generation + 1, opening: e.opening}
 }
 
 // CloseSurplus closes the connection that has been idle longest if backends hold more descriptors than are reserved for
@@ -99,17 +111,24 @@
 }
 
 // remove takes a connection off the idle list.
-func (e *endpoint) remove(c *conn) {
-	if i := slices.Index(e.idle, c); i >= 0 {
-		e.idle = append(e.idle[:i], e.idle[i+1:]...)
+func (e *endpoint) remove(c *conn) { e.idle = without(e.idle, c) }
+
+// opened takes a connection off the list of those that are being made.
+func (e *endpoint) opened(c *conn) { e.opening = without(e.opening, c) }
+
+// without returns a list without one of its connections.
+func without(list []*conn, c *conn) []*conn {
+	if i := slices.Index(list, c); i >= 0 {
+		return slices.Delete(list, i, i+1)
 	}
+	return list
 }
 
 // acquire returns the idle connection that was used last and has been idle for the reuse delay, or a new one; nil if
-// none can be made. Idle connections that the backend has closed or sent data on are dropped: what is written to such a
+// none can be made, and why: router.ConnectFailed, or router.NeverSent if that says nothing of the endpoint. Idle connections that the backend has closed or sent data on are dropped: what is written to such a
 // connection may count as run, or be answered with what belongs to the command before. Either may be under way just
 // after an answer, which is why there is a reuse delay.
-func (p *Pool) acquire(index int) *conn {
+func (p *Pool) acquire(index int) (*conn, router.Result) {
 	e := &p.endpoints[index]
 	now := p.loop.Now()
 	for i := len(e.idle) - 1; i >= 0; i-- {
@@ -119,7 +138,7 @@
 		}
 		if p.loop.NothingToRead(c.fd) {
 			e.remove(c)
-			return c
+			return c, router.NeverSent
 		}
 		c.closeUnsolicited()
 	}
@@ -127,24 +146,31 @@
 }
 
 // dial begins a connection; nil if the endpoint has no address, no descriptor is free, or the system refuses one.
-func (p *Pool) dial(index int) *conn {
+func (p *Pool) dial(index int) (*conn, router.Result) {
 	e := &p.endpoints[index]
-	if !e.address.IsValid() || !p.hasDescriptor() {
-		return nil
+	if !e.address.IsValid() {
+		return nil, router.ConnectFailed
+	}
+	if !p.hasDescriptor() {
+		return nil, router.NeverSent
 	}
 	p.counters.BackendConnects++
 	fd, err := p.loop.Dial(e.address)
 	if err != nil {
 		p.counters.BackendConnectFailures++
-		return nil
+		if eventloop.IsLocalFailure(err) {
+			return nil, router.NeverSent
+		}
+		return nil, router.ConnectFailed
 	}
 	c := newConn(p, index, fd)
 	if err := p.loop.Add(fd, c, true, true); err != nil {
 		p.loop.CloseUnwatched(fd)
-		return nil
+		return nil, router.NeverSent
 	}
 	p.connections++
-	return c
+	e.opening = append(e.opening, c)
+	return c, router.NeverSent
 }
 
 // hasDescriptor reports whether a connection may be opened: within the descriptors reserved for backends, within those
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -46,7 +46,7 @@
 	f.send("d=99", distantDeadline)
 	c := f.accept()
 	f.pool.CheckHealth(0)
-	assert.Equal(t, []router.Result{router.ConnectFailed}, f.checks, "the one descriptor is in use")
+	assert.Equal(t, []router.Result{router.NeverSent}, f.checks, "the one descriptor is in use, which is not the endpoint's fault")
 	f.reply(c, "one")
 	other := listen(t)
 	f.pool.SetAddress(1, netip.MustParseAddrPort(other.Addr().String()), false)
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -19,8 +19,8 @@
 	DiscoveryLine    int   // longest header line of the discovery service's replies
 	StartupPacket    int   // longest start-up packet of a client
 	StatementComment int   // longest routing comment of a statement
-	ReadPerTurn      int   // read from one connection in one turn of the event loop
 	DiscardedInput   int   // input discarded from a closing client before its connection is cut
+	ReadPerTurn      int   // read from one connection in one turn of the event loop
 	UnsentAnswers    int   // answers that a client may leave unread before it is no longer read from
 }
 
@@ -52,17 +52,20 @@
 	ShedGrace          float64 // a client is spared from shedding this long; accepting pauses as long if none can be shed
 	ConnectTimeout     float64 // for opening a backend connection
 	HealthCheckTimeout float64 // for one health check
-	BackendIdleTimeout float64 // after which an unused backend connection is closed
-	ReuseDelay         float64 // that a backend connection rests before it is used again; member says why
-	MaxClockSkew       float64 // that a backend's position may lie in the future
-	LongPollHold       float64 // that the discovery service may hold a poll
-	SilenceTimeout     float64 // silence of the discovery service after which a call has failed
-	ReplyTimeout       float64 // from the first byte of a discovery reply to its last
-	MinBackoff         float64 // first backoff before discovery is called again; doubled on each failure
-	MaxBackoff         float64 // upper bound of that backoff
-	AcceptLinger       float64 // that a router told to shut down goes on accepting clients
-	DrainDeadline      float64 // after that, for clients that have not sent a query or are in the middle of a message
-	CloseLinger        float64 // for a client to close its side of a connection that was ended
+	// StatementWriteTimeout is for writing a statement: the time that it tells a backend counts from its first byte.
+	StatementWriteTimeout float64
+	BackendIdleTimeout    float64 // after which an unused backend connection is closed
+	ReuseDelay            float64 // that a backend connection rests before it is used again; member says why
+	MaxClockSkew          float64 // that a backend's position may lie in the future
+	ClockConfirmation     float64 // that positions are rejected until a primary has confirmed the wall clock
+	LongPollHold          float64 // that the discovery service may hold a poll
+	SilenceTimeout        float64 // silence of the discovery service after which a call has failed
+	ReplyTimeout          float64 // from the first byte of a discovery reply to its last
+	MinBackoff            float64 // first backoff before discovery is called again; doubled on each failure
+	MaxBackoff            float64 // upper bound of that backoff
+	AcceptLinger          float64 // that a router told to shut down goes on accepting clients
+	DrainDeadline         float64 // after that, for clients that have not sent a query or are in the middle of a message
+	CloseLinger           float64 // for a client to close its side of a connection that was ended
 }
 
 const bytesPerMB = 1 << 20
@@ -153,27 +156,29 @@
 	}
 	silence, backoff := discoveryTimes(settings)
 	return Durations{
-		PositionEpoch:      3600,
-		AnswerMargin:       settings.BatchInterval,
-		MaxClientTimeout:   clientTimeoutMultiple * longestTimeout,
-		FirstQueryTimeout:  2,
-		MessageTimeout:     2,
-		WriteStallTimeout:  10,
-		IdleTimeout:        5,
-		ShedGrace:          0.01,
-		ConnectTimeout:     connectTimeout(settings),
-		HealthCheckTimeout: settings.ConnectTimeout,
-		BackendIdleTimeout: backendIdleFraction * settings.BackendIdle,
-		ReuseDelay:         settings.BatchInterval,
-		MaxClockSkew:       1,
-		LongPollHold:       longPollHold(settings),
-		SilenceTimeout:     silence,
-		ReplyTimeout:       1,
-		MinBackoff:         min(minBackoff, backoff),
-		MaxBackoff:         backoff,
-		AcceptLinger:       0.5,
-		DrainDeadline:      0.15,
-		CloseLinger:        1,
+		PositionEpoch:         3600,
+		AnswerMargin:          settings.BatchInterval,
+		MaxClientTimeout:      clientTimeoutMultiple * longestTimeout,
+		FirstQueryTimeout:     2,
+		MessageTimeout:        2,
+		WriteStallTimeout:     10,
+		IdleTimeout:           5,
+		ShedGrace:             0.01,
+		ConnectTimeout:        connectTimeout(settings),
+		HealthCheckTimeout:    settings.ConnectTimeout,
+		StatementWriteTimeout: 0.1,
+		BackendIdleTimeout:    backendIdleFraction * settings.BackendIdle,
+		ReuseDelay:            settings.BatchInterval,
+		MaxClockSkew:          1,
+		ClockConfirmation:     1,
+		LongPollHold:          longPollHold(settings),
+		SilenceTimeout:        silence,
+		ReplyTimeout:          1,
+		MinBackoff:            min(minBackoff, backoff),
+		MaxBackoff:            backoff,
+		AcceptLinger:          0.5,
+		DrainDeadline:         0.15,
+		CloseLinger:           1,
 	}
 }
 
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -15,9 +15,22 @@
 // rolesByRecovery gives the role of a backend by what its answer says of its recovery.
 var rolesByRecovery = map[string]router.Role{"off": router.RolePrimary, "on": router.RoleReplica}
 
+// maxTurnAge is how old a turn may be, in seconds, for a client to count as present because this turn's poll did not tell
+// that it has gone.
+const maxTurnAge = 0.01
+
+// Wanted implements backend.ResultHandler.
+func (d *Dispatcher) Wanted(attempt *backend.Attempt) bool {
+	command := d.commands.get(attempt.CommandID)
+	if command == nil || command.clientGone {
+		return false
+	}
+	return d.loop.Clock()-d.loop.Now() < maxTurnAge || command.Responder.ClientPresent(command)
+}
+
 // AttemptEnded implements backend.ResultHandler.
 func (d *Dispatcher) AttemptEnded(attempt *backend.Attempt, result router.Result, elapsed float64, answer *pg.Answer) {
-	ended := endedAttempt{attempt: attempt, result: result, elapsed: elapsed}
+	ended := endedAttempt{attempt: attempt, result: result, elapsed: elapsed, receivedAt: d.loop.Clock()}
 	if answer != nil {
 		ended.answer = *answer
 	}
@@ -34,6 +47,7 @@
 func (d *Dispatcher) deliverAttempt(now float64, ended *endedAttempt) {
 	d.counters.AttemptResults[ended.result]++
 	command := d.commands.get(ended.attempt.CommandID)
+	d.observeAnswer(ended, command)
 	if command != nil && command.attempt == ended.attempt {
 		command.attempt = nil
 	}
@@ -48,6 +62,37 @@
 	ended.answer.Row.Free()
 }
 
+// observeAnswer sets the clock right by an answer, if need be. Only a read's tells when its primary answered: that to a
+// write may tell of an earlier commit, where its key was known.
+func (d *Dispatcher) observeAnswer(ended *endedAttempt, command *Command) {
+	if ended.result != router.Answered || ended.answer.PositionMs <= 0 || command == nil {
+		return
+	}
+	position := float64(ended.answer.PositionMs) / millisecondsPerSecond
+	isPrimary := rolesByRecovery[ended.answer.Role] == router.RolePrimary
+	atPresent := isPrimary && !d.isWrite(command)
+	d.observeClock(newClockReading(position, ended.receivedAt-ended.elapsed, ended.receivedAt, atPresent))
+	if isPrimary {
+		d.clock.confirm()
+	}
+}
+
+// observeClock sets the clock right by a reading, if need be.
+func (d *Dispatcher) observeClock(reading clockReading) {
+	behind := d.clock.observe(reading)
+	if behind == 0 {
+		return
+	}
+	d.log.Warn().Float64("behind_seconds", behind).Msg("clock set by backends' answers")
+	d.tracker.ShiftReportedTimes(behind)
+}
+
+// isWrite reports whether only a primary runs a command, by the settings as they are now.
+func (d *Dispatcher) isWrite(command *Command) bool {
+	groups := d.settings.CommandGroups
+	return command.Group >= len(groups) || groups[command.Group].Consistency == router.PrimaryOnly
+}
+
 // attemptResult converts an attempt's end to the router's terms.
 func (d *Dispatcher) attemptResult(ended *endedAttempt) router.AttemptResult {
 	result := router.AttemptResult{
--- a/internal/dispatcher/command.go
+++ b/internal/dispatcher/command.go
@@ -24,6 +24,7 @@
 	trackingID uint32
 	attempt    *backend.Attempt // the last one that was begun and has not ended
 	done       bool             // has had its final answer, or needs none
+	clientGone bool             // needs none, which the router may still have to hear
 }
 
 // Responder gives a command its final answer: one call a command, and none once its client has gone. It may call
@@ -35,6 +36,8 @@
 	Reject(c *Command, retryAfter float64)
 	// Fail says that the command may have run.
 	Fail(c *Command)
+	// ClientPresent looks whether the client is still there, also if that has not been told yet.
+	ClientPresent(c *Command) bool
 }
 
 // commandTable holds the commands in flight.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,7 +74,7 @@
 // newRouter returns a router under the present settings, which knows no endpoint yet.
 func (d *Dispatcher) newRouter() *router.Router {
 	config := d.settings.Config
-	config.PositionEpoch = d.clock.positionEpoch()
+	config.PositionEpoch = d.clock.positionEpoch
 	if config.Zone >= 0 && config.Zone < len(d.settings.Zones) {
 		config.Zone = d.zones.Intern(d.settings.Zones[config.Zone]) // an id that outlasts a change of the settings' order
 	}
@@ -119,6 +119,9 @@
 
 // ClientGone notifies the dispatcher that the client of these commands has gone. They get no answer any more.
 func (d *Dispatcher) ClientGone(commands []*Command) {
+	for _, command := range commands {
+		command.clientGone = true
+	}
 	d.gathered.goneClients = append(d.gathered.goneClients, commands)
 }
 
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -28,8 +28,9 @@
 	*r = append(*r, "answered")
 	row.Free()
 }
-func (r *recorder) Reject(*Command, float64) { *r = append(*r, "rejected") }
-func (r *recorder) Fail(*Command)            { *r = append(*r, "failed") }
+func (r *recorder) Reject(*Command, float64)    { *r = append(*r, "rejected") }
+func (r *recorder) Fail(*Command)               { *r = append(*r, "failed") }
+func (r *recorder) ClientPresent(*Command) bool { return true }
 
 func testList() endpoint.List {
 	return endpoint.List{Complete: true, Endpoints: []endpoint.Endpoint{{ID: "a", Shard: testCluster, State: endpoint.StateReady}}}
@@ -56,7 +57,7 @@
 		},
 		Durations: config.Durations{
 			PositionEpoch: 3600, ConnectTimeout: 1, HealthCheckTimeout: 1, SilenceTimeout: 1, MinBackoff: 1, MaxBackoff: 1,
-			LongPollHold: 1,
+			LongPollHold: 1, StatementWriteTimeout: 1,
 		},
 	}
 	startConfig.Discovery = startConfig.KnownList.Endpoints[0].Address
@@ -176,7 +177,8 @@
 	submit(d, buffers, &recorder{})
 	d.deliver(polled)
 	assert.Empty(t, d.decided.sends, "a position of 5 ms after the poll does not cover what came 20 ms after it")
-	d.HealthChecked(0, router.Answered, 0, fmt.Sprintf("x0=%.6f,x1=0", reported+0.5))
+	time.Sleep(50 * time.Millisecond)
+	d.HealthChecked(0, router.Answered, 0, fmt.Sprintf("x0=%.6f,x1=0", reported+0.05))
 	d.deliver(polled)
 	d.tracker.ReviewDue(polled + 0.05)
 	assert.Len(t, d.decided.sends, 1, "one of later does")
--- a/internal/dispatcher/list.go
+++ b/internal/dispatcher/list.go
@@ -49,12 +49,15 @@
 // updateEndpoints takes a list over. One that is cached counts as complete, whatever it says.
 func (d *Dispatcher) updateEndpoints(now float64, list endpoint.List, cached bool) {
 	infos := make([]router.EndpointInfo, 0, len(list.Endpoints))
+	ready := map[int]bool{}
 	for i := range list.Endpoints {
 		row := &list.Endpoints[i]
 		info := d.endpointInfo(row)
 		d.backends.SetAddress(info.Index, row.Address, row.State == endpoint.StateGone)
+		ready[info.Index] = row.State == endpoint.StateReady
 		infos = append(infos, info)
 	}
+	d.stopOpening(ready, list.Complete || cached)
 	d.tracker.UpdateEndpoints(now, infos, list.Complete || cached, cached)
 	if len(infos) == 0 { // a long poll that ended without changes
 		return
@@ -67,6 +70,17 @@
 		Msg("list")
 }
 
+// stopOpening ends the connections that are being made to endpoints which take nothing new by a list: what is not ready,
+// and what a complete list does not name.
+func (d *Dispatcher) stopOpening(ready map[int]bool, complete bool) {
+	for index := range d.backends.EndpointRows() {
+		isReady, listed := ready[index]
+		if listed && !isReady || complete && !listed {
+			d.backends.StopOpening(index)
+		}
+	}
+}
+
 // endpointInfo converts a row of the list to the router's terms. It gives ids to an endpoint, shard and zone that have
 // none.
 func (d *Dispatcher) endpointInfo(endpoint *endpoint.Endpoint) router.EndpointInfo {
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -16,8 +16,9 @@
 
 // loadReport is what a backend reports of itself, by a health check or beside an answer.
 type loadReport struct {
-	position float64 // log position, or noPosition
-	primary  bool
+	unixSeconds float64 // the position as it was told; 0: none was
+	position    float64 // log position, or noPosition
+	primary     bool
 }
 
 // reportField is one field of a load report's text, which has the form name=number,name=number.
@@ -75,6 +76,7 @@
 		}
 		switch field.name {
 		case positionField:
+			report.unixSeconds = field.value
 			report.position = d.readPosition(field.value)
 		case primaryField:
 			report.primary = field.value == 1
--- a/internal/dispatcher/report_test.go
+++ b/internal/dispatcher/report_test.go
@@ -15,7 +15,7 @@
 	report := d.readReport(fmt.Sprintf("x1=1, x0=%.3f", unixSeconds))
 	assert.InDelta(t, 3600, report.position, 0.01)
 	assert.True(t, report.primary)
-	assert.InDelta(t, 0, d.clock.positionEpoch()+report.position, 0.01, "which is when the loop's clock read 0")
+	assert.InDelta(t, 0, d.clock.positionEpoch+report.position, 0.01, "which is when the loop's clock read 0")
 	for _, nonsense := range []string{
 		"", "x0", "x0=soon", "x0=NaN", "x0=-Inf", "util=0.5", "x0=-5", "x0=1e18",
 		fmt.Sprintf("x0=%.3f", unixSeconds+60),
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -34,6 +34,8 @@
 	result  router.Result
 	elapsed float64 // seconds
 	answer  pg.Answer
+
+	receivedAt float64 // loop time
 }
 
 // RunTurn tells the router what was gathered, and carries out its decisions, until nothing more comes of it. It returns
@@ -86,6 +88,10 @@
 
 func (d *Dispatcher) deliverHealthCheck(now float64, check healthCheckResult) {
 	report := d.readReport(check.report)
+	if check.result == router.Answered && report.unixSeconds > 0 {
+		receivedAt := d.loop.Clock()
+		d.observeClock(newClockReading(report.unixSeconds, receivedAt-check.elapsed, receivedAt, false))
+	}
 	d.router.HealthChecked(now, check.endpoint, check.result, check.elapsed, report.position, report.primary)
 }
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -148,9 +148,9 @@
 // Stop has Run return after this turn.
 func (l *Loop) Stop() { l.stopped = true }
 
-// Run turns until Stop is called, and may be called again. Each turn handles the ready descriptors and fires the due
-// timers, in this order, and then calls afterEvents, which returns the time of the next turn at the latest. It fails only
-// if the kernel refuses to wait.
+// Run turns until Stop is called, and may be called again. Each turn handles the hang-ups of clients, the other ready
+// descriptors and the due timers, in this order, and then calls afterEvents, which returns the time of the next turn at
+// the latest. It fails only if the kernel refuses to wait.
 func (l *Loop) Run(afterEvents func(now float64) float64) error {
 	ready := make([]unix.EpollEvent, l.eventsPerTurn)
 	next := 0.0
@@ -162,6 +162,9 @@
 		if err != nil {
 			return err
 		}
+		for _, event := range ready[:n] {
+			l.handleHangup(event)
+		}
 		for _, event := range ready[:n] {
 			l.handle(event)
 		}
@@ -189,16 +192,42 @@
 	return max(0, n), nil
 }
 
-// handle calls the handler of an event, unless the descriptor has been closed meanwhile.
-func (l *Loop) handle(event unix.EpollEvent) {
+// handleHangup calls the handler of a hang-up that is handled apart. It comes before all other events of the turn: nothing
+// that they lead to may be done for whoever has left already.
+func (l *Loop) handleHangup(event unix.EpollEvent) {
+	r := l.registrationOf(event)
+	if r == nil || !isHangup(event) {
+		return
+	}
+	if handler, ok := r.handler.(HangupHandler); ok {
+		handler.HungUp()
+	}
+}
+
+// registrationOf returns the descriptor that an event belongs to, or nil if it has been closed meanwhile.
+func (l *Loop) registrationOf(event unix.EpollEvent) *registration {
 	r := l.registered[int(event.Fd)]
 	if r == nil || r.generation != event.Pad {
+		return nil
+	}
+	return r
+}
+
+func hasFailed(event unix.EpollEvent) bool { return event.Events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 }
+
+func isHangup(event unix.EpollEvent) bool {
+	return hasFailed(event) || event.Events&unix.EPOLLRDHUP != 0
+}
+
+// handle calls the handler of an event, unless the descriptor has been closed meanwhile.
+func (l *Loop) handle(event unix.EpollEvent) {
+	r := l.registrationOf(event)
+	if r == nil {
 		return
 	}
-	failed := event.Events&(unix.EPOLLERR|unix.EPOLLHUP) != 0
-	hungUp := failed || event.Events&unix.EPOLLRDHUP != 0
+	failed, hungUp := hasFailed(event), isHangup(event)
 	if handler, ok := r.handler.(HangupHandler); ok && hungUp {
-		handler.HungUp()
+		handler.HungUp() // it came to this descriptor during the turn
 		return
 	}
 	readable := hungUp || event.Events&unix.EPOLLIN != 0
--- a/internal/eventloop/network.go
+++ b/internal/eventloop/network.go
@@ -11,6 +11,8 @@
 type Network interface {
 	// Now returns the time of this turn.
 	Now() float64
+	// Clock reads the clock anew: a turn may have been held up since its poll.
+	Clock() float64
 	// SetTimer has a timer fire at a time, in place of any that it was set to.
 	SetTimer(t *Timer, at float64)
 	// StopTimer keeps a timer from firing.
@@ -52,7 +54,8 @@
 	LocalAddress(listener int) (netip.AddrPort, error)
 	// HasBacklog reports whether a connection waits to be accepted.
 	HasBacklog(listener int) bool
-	// Accept accepts a connection; false: none waits. An error is a lack of descriptors or memory.
+	// Accept accepts a connection; false: none waits. An error is a lack of descriptors or memory; see
+	// IsOutOfDescriptors.
 	Accept(listener int) (fd int, ok bool, err error)
 	// PeerClosed reports whether the other side has closed, also with bytes ahead of the end that were not read.
 	PeerClosed(fd int) bool
--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"golang.org/x/sys/unix"
 )
@@ -77,13 +78,41 @@
 			return fd, true, nil
 		case errors.Is(err, unix.EAGAIN):
 			return noDescriptor, false, nil
-		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+		case errors.Is(err, unix.EINTR), isAny(err, lostWhileWaiting):
 		default:
 			return noDescriptor, false, fmt.Errorf("accepting: %w", err)
 		}
 	}
 }
 
+// lostWhileWaiting are the errors by which Linux tells of a connection that failed while it waited to be accepted. They
+// say nothing of the listener: the next connection may be accepted.
+var lostWhileWaiting = []unix.Errno{
+	unix.ECONNABORTED, unix.EPROTO, unix.ENOPROTOOPT, unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.EOPNOTSUPP,
+	unix.ENETDOWN, unix.ENETUNREACH, unix.ETIMEDOUT, unix.EPERM,
+}
+
+// localFailures are the errors of opening a socket or of connecting it that this machine alone accounts for.
+var localFailures = []unix.Errno{
+	unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EAGAIN, unix.ENETUNREACH, unix.ENETDOWN,
+	unix.EPERM, unix.EACCES, unix.EINTR,
+}
+
+// outOfDescriptors are the errors that a closed descriptor helps against.
+var outOfDescriptors = []unix.Errno{unix.EMFILE, unix.ENFILE}
+
+// IsLocalFailure reports whether an error of Dial says nothing of the other side: this machine lacks a descriptor, memory, a
+// port or a route.
+func IsLocalFailure(err error) bool { return isAny(err, localFailures) }
+
+// IsOutOfDescriptors reports whether an error says that the process or the machine has no descriptor left.
+func IsOutOfDescriptors(err error) bool { return isAny(err, outOfDescriptors) }
+
+func isAny(err error, codes []unix.Errno) bool {
+	var code unix.Errno
+	return errors.As(err, &code) && slices.Contains(codes, code)
+}
+
 // Dial starts to connect. The descriptor is writable once the attempt has ended; ConnectError tells how.
 func (Sockets) Dial(address netip.AddrPort) (fd int, err error) {
 	fd, socketAddress, err := newSocket(address)
@@ -91,7 +120,8 @@
 		return noDescriptor, fmt.Errorf("opening a socket: %w", err)
 	}
 	setNoDelay(fd)
-	if err = unix.Connect(fd, socketAddress); err != nil && !errors.Is(err, unix.EINPROGRESS) {
+	// A connect that a signal interrupts goes on in the background like any other.
+	if err = unix.Connect(fd, socketAddress); err != nil && !isAny(err, []unix.Errno{unix.EINPROGRESS, unix.EINTR}) {
 		_ = unix.Close(fd)
 		return noDescriptor, fmt.Errorf("connecting to %s: %w", address, err)
 	}
--- a/internal/eventloop/socket_test.go
+++ b/internal/eventloop/socket_test.go
@@ -1,12 +1,14 @@
 package eventloop
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"stoatdale.example/stoatdale/internal/buffer"
 )
@@ -49,3 +51,20 @@
 	require.ErrorIs(t, err, ErrPeerClosed)
 	assert.False(t, sockets.NothingToRead(fd), "there is the end of the connection to read")
 }
+
+// What Linux hands on from a connection that failed in the backlog is no fault of the listener, nor of the machine.
+func TestErrorsOfSystemCallsAreToldApart(t *testing.T) {
+	for _, code := range []unix.Errno{
+		unix.ECONNABORTED, unix.EPROTO, unix.ENETDOWN, unix.ENETUNREACH, unix.EHOSTDOWN, unix.EHOSTUNREACH, unix.ETIMEDOUT,
+	} {
+		assert.True(t, isAny(code, lostWhileWaiting), code)
+		assert.False(t, IsOutOfDescriptors(code), code)
+	}
+	for _, code := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOMEM} {
+		assert.True(t, IsLocalFailure(fmt.Errorf("connecting: %w", code)), code)
+	}
+	for _, code := range []unix.Errno{unix.ECONNREFUSED, unix.ECONNRESET, unix.ETIMEDOUT, unix.EHOSTUNREACH} {
+		assert.False(t, IsLocalFailure(code), code)
+	}
+	assert.True(t, IsOutOfDescriptors(fmt.Errorf("accepting: %w", unix.EMFILE)))
+}
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -117,7 +117,7 @@
 			MessagesPerTurn: 100, PipelinedCommands: 8, InvalidQueries: 100, IdleClients: 100, BufferBlocks: 1 << 20,
 		},
 		Durations: config.Durations{
-			PositionEpoch: 3600, ConnectTimeout: never, HealthCheckTimeout: never, SilenceTimeout: never, LongPollHold: 1,
+			PositionEpoch: 3600, ConnectTimeout: never, StatementWriteTimeout: never, HealthCheckTimeout: never, SilenceTimeout: never, LongPollHold: 1,
 			MinBackoff: never, MaxBackoff: never, MaxClientTimeout: 1000, FirstQueryTimeout: never, MessageTimeout: never,
 			WriteStallTimeout: never, IdleTimeout: never, CloseLinger: never, BackendIdleTimeout: never,
 		},
--- a/internal/frontend/late_attempt_test.go
+++ b/internal/frontend/late_attempt_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/endpoint"
 )
 
 // longHold is how long a router may be held up within a turn, and more than the 0.1 s after a client's leaving in which an
@@ -28,3 +30,46 @@
 	time.Sleep(longHold / 3)
 	assert.Empty(t, backend.ids())
 }
+
+// The router has polled and read a command, and is held up before it sends it. The client leaves meanwhile.
+func TestAttemptIsNotBegunForAClientThatLeftDuringALongTurn(t *testing.T) {
+	h := newHarness(t, noChange)
+	backend := h.startBackend(func(b *fakeBackend) { b.answer = valueRow })
+	h.client(startupThen(patientQuery("a0"))) // its connection to the backend stands
+	h.runUntil(func() bool { return h.counters.Answered == 1 })
+	conn, _ := h.client(startupThen(patientQuery("a1")))
+	held := false
+	require.NoError(t, h.loop.Run(func(now float64) float64 {
+		h.server.ProcessPending()
+		if h.counters.Received == 2 && !held {
+			held = true
+			require.NoError(t, conn.Close())
+			time.Sleep(longHold)
+		}
+		h.dispatcher.RunTurn(now)
+		if held {
+			h.loop.Stop()
+		}
+		return now + 0.002
+	}))
+	h.runUntil(func() bool { return h.dispatcher.InFlight() == 0 })
+	time.Sleep(longHold / 3)
+	assert.Equal(t, []string{"a0"}, backend.ids())
+}
+
+// A connection that comes up after the list has said that its endpoint drains takes no attempt, however long the time
+// for connecting is.
+func TestAttemptIsNotBegunAtAnEndpointThatDrainsMeanwhile(t *testing.T) {
+	for _, state := range []endpoint.State{endpoint.StateDraining, endpoint.StateGone} {
+		h := newHarness(t, noChange)
+		backend := h.startBackend(holdGreeting)
+		h.client(startupThen(patientQuery("a1")))
+		h.runUntil(func() bool { return h.counters.BackendConnects == 1 })
+		h.publishState(state)
+		backend.resume()
+		end := time.Now().Add(longHold)
+		h.runUntil(func() bool { return time.Now().After(end) })
+		assert.Empty(t, backend.ids())
+		assert.EqualValues(t, 1, h.dispatcher.InFlight(), "it waits for another endpoint")
+	}
+}
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -1,6 +1,10 @@
 package frontend
 
-import "container/list"
+import (
+	"container/list"
+
+	"stoatdale.example/stoatdale/internal/eventloop"
+)
 
 // noDescriptor stands for the descriptor of a closed listener.
 const noDescriptor = -1
@@ -41,7 +45,9 @@
 	fd, ok, err := s.loop.Accept(s.listener)
 	if err != nil {
 		s.log.Warn().Err(err).Msg("client not accepted")
-		s.shedOne()
+		if eventloop.IsOutOfDescriptors(err) {
+			s.shedOne()
+		}
 		s.pauseAccepting()
 		return false
 	}
--- a/internal/frontend/reply.go
+++ b/internal/frontend/reply.go
@@ -56,7 +56,7 @@
 
 // Answer implements dispatcher.Responder: it sends a row and frees it.
 func (s *Server) Answer(command *dispatcher.Command, row *buffer.Chain) {
-	if to := command.Owner.(owner); to.conn.state != stateClosed {
+	if to := command.Owner.(owner); to.conn.state != stateClosed && !to.reply.complete {
 		row.MoveTo(&to.reply.data)
 	}
 	row.Free()
@@ -81,10 +81,16 @@
 	s.complete(command, pg.AppendReadyForQuery(message))
 }
 
+// ClientPresent implements dispatcher.Responder.
+func (s *Server) ClientPresent(command *dispatcher.Command) bool {
+	to := command.Owner.(owner)
+	return to.conn.state != stateClosed && !s.loop.PeerClosed(to.conn.fd)
+}
+
 // complete appends the last part of a command's reply, and sends the replies that are due by now.
 func (s *Server) complete(command *dispatcher.Command, last []byte) {
 	to := command.Owner.(owner)
-	if to.conn.state == stateClosed {
+	if to.conn.state == stateClosed || to.reply.complete { // its client has left or canceled it
 		return
 	}
 	to.reply.data.Write(last)
--- a/internal/inflight/tracker.go
+++ b/internal/inflight/tracker.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// ShiftReportedTimes has every router that has commands in flight set right the times that others have told it; see
+// router.ShiftReportedTimes.
+func (t *Tracker) ShiftReportedTimes(behind float64) {
+	t.router.ShiftReportedTimes(behind)
+	for _, r := range t.earlier {
+		r.ShiftReportedTimes(behind)
+	}
+}
+
 // ClientGone takes in that the client of a command has gone. It may be called for a command that has ended.
 func (t *Tracker) ClientGone(now float64, id uint32) {
 	c := t.commands[id]
--- a/internal/modelcheck/models/member.go
+++ b/internal/modelcheck/models/member.go
@@ -84,13 +84,13 @@
 	s := &members{bounds: b, fault: fault, wire: newWire(), blocks: buffer.NewPool(512, 1<<16), pg: map[int]*peer{}}
 	limits := &config.Limits{
 		Sizes: config.Sizes{
-			ReadPerTurn: 1 << 16, BackendMessage: 1 << 16, InspectedMessage: 1 << 10,
+			ReadPerTurn: 1 << 16, BackendMessage: 1 << 16, InspectedMessage: 1 << 10, BufferBlock: 4 << 10,
 		},
 		Counts: config.Counts{
 			BackendConnections: 4, SharedDescriptors: 9,
 		},
 		Durations: config.Durations{
-			ConnectTimeout: 1, HealthCheckTimeout: 1, BackendIdleTimeout: 3, ReuseDelay: 0,
+			ConnectTimeout: 1, HealthCheckTimeout: 1, BackendIdleTimeout: 3, ReuseDelay: 0, StatementWriteTimeout: 1,
 		},
 	}
 	s.wire.deafQuiet, s.wire.earlyByte = fault == "previous-reply", fault == "early-write"
@@ -111,6 +111,9 @@
 // memberSink is told how dispatches end.
 type memberSink struct{ *members }
 
+// Wanted implements backend.ResultHandler.
+func (memberSink) Wanted(*backend.Attempt) bool { return true }
+
 // AttemptEnded implements backend.ResultHandler.
 func (s memberSink) AttemptEnded(d *backend.Attempt, e router.Result, _ float64, a *pg.Answer) {
 	x := s.sends[d.CommandID]
--- a/internal/modelcheck/models/wire.go
+++ b/internal/modelcheck/models/wire.go
@@ -47,6 +47,7 @@
 func newWire() *wire { return &wire{socks: map[int]*sock{}, timers: map[*eventloop.Timer]float64{}} }
 
 func (w *wire) Now() float64                            { return w.now }
+func (w *wire) Clock() float64                          { return w.now }
 func (w *wire) OpenDescriptors() int                    { return len(w.socks) }
 func (w *wire) SetTimer(t *eventloop.Timer, at float64) { w.timers[t] = at }
 func (w *wire) StopTimer(t *eventloop.Timer)            { delete(w.timers, t) }
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -10,13 +10,18 @@
 func TestNonIdempotentCommandRunsOnce(t *testing.T) {
 	for ending, want := range map[Result]Action{
 		Errored: Fail, TimedOut: Fail, ConnectionLost: Fail, Canceled: Fail,
-		Overloaded: Forward, ConnectFailed: Forward, NeverSent: Forward,
+		Overloaded: Forward, ConnectFailed: Forward, NeverSent: Wait,
 	} {
 		r := testRouter(t, testConfig())
 		r.endpoints[0].resultSum, r.endpoints[0].decayedAt = 9, 10
 		c := newCommand(writes)
 		r.Route(10, c)
-		assert.Equal(t, want, r.AttemptEnded(10.1, c, AttemptResult{Result: ending, Position: -1}).Action, "ending %d", ending)
+		decision := r.AttemptEnded(10.1, c, AttemptResult{Result: ending, Position: -1})
+		assert.Equal(t, want, decision.Action, "ending %d", ending)
+		if want == Wait { // for what this machine lacked, and only that long
+			assert.Less(t, decision.ReviewAt, 10.15)
+			assert.Equal(t, Forward, r.Route(decision.ReviewAt, c).Action)
+		}
 	}
 }
 
--- a/internal/router/generational/generational.go
+++ b/internal/router/generational/generational.go
@@ -33,13 +33,18 @@
 // Turn forgets the older generation; the younger one takes its place.
 func (m *Map[K, V]) Turn() { m.older, m.younger = m.younger, map[K]V{} }
 
-// CloneFunc returns a copy in which each entry is what convert makes of it. Entries come in no order.
-func (m *Map[K, V]) CloneFunc(convert func(V) V) Map[K, V] {
-	clone := Map[K, V]{younger: maps.Clone(m.younger), older: maps.Clone(m.older)}
-	for _, generation := range []map[K]V{clone.younger, clone.older} {
+// Update makes each entry what convert makes of it. Entries come in no order.
+func (m *Map[K, V]) Update(convert func(V) V) {
+	for _, generation := range []map[K]V{m.younger, m.older} {
 		for key, value := range generation {
 			generation[key] = convert(value)
 		}
 	}
+}
+
+// CloneFunc returns a copy in which each entry is what convert makes of it. Entries come in no order.
+func (m *Map[K, V]) CloneFunc(convert func(V) V) Map[K, V] {
+	clone := Map[K, V]{younger: maps.Clone(m.younger), older: maps.Clone(m.older)}
+	clone.Update(convert)
 	return clone
 }
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -12,9 +12,12 @@
 )
 
 // HealthChecked takes in the result of a health check. Only its report speaks for the endpoint's data. An
-// error says nothing, and silence says less than an answer to a command meanwhile.
+// error says nothing, nor does a check that did not leave this process, and silence says less than an answer to a command meanwhile.
 func (r *Router) HealthChecked(now float64, i int, result Result, elapsed, position float64, primary bool) {
 	e := &r.endpoints[i]
+	if result == NeverSent {
+		return
+	}
 	if !result.fromEndpoint() && e.answeredAt < now-elapsed {
 		e.recordUnreachable(now)
 	}
@@ -47,6 +50,7 @@
 func (r *Router) recordReachable(now float64, e *endpoint) {
 	if e.unreachableAt-e.unreachableSince > r.longestObjective {
 		e.startedAt = max(e.startedAt, now)
+		e.startListed = false
 	}
 	if !math.IsInf(e.unreachableSince, 1) {
 		// What was sent meanwhile never reached it, and its silence would eject it again at once.
--- /dev/null
+++ b/internal/router/reportedtime.go
@@ -0,0 +1,29 @@
+package router
+
+import "math"
+
+// ShiftReportedTimes sets right the times that endpoints, the list and sessions' clients have told, after the caller's
+// clock turned out to be behind theirs by so many seconds (negative: ahead): what was told of before is that much
+// earlier. Where a time may be the router's own, it is only moved to the side on which it makes the router more careful.
+func (r *Router) ShiftReportedTimes(behind float64) {
+	for i := range r.endpoints {
+		e := &r.endpoints[i]
+		e.position -= behind
+		e.lag = max(0, e.lag+behind)
+		if behind < 0 || e.startListed {
+			e.startedAt -= behind
+		}
+	}
+	later := math.Max(0, -behind)
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.positionFloor += later
+		s.newestPosition += later
+		s.olderPosition += later
+	}
+	r.sessions.Update(func(s session) session {
+		s.lastWrite += later
+		s.highestRead += later
+		return s
+	})
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -48,6 +48,7 @@
 	draining          bool
 	listedPrimary     bool    // the list says that it is the primary
 	startedAt         float64 // by the list, or by what the router saw of it
+	startListed       bool    // startedAt is the list's
 	removedAt         float64 // when the list dropped it; positive infinity: it did not
 	reportedAt        float64 // time of the last report with a position
 	position          float64 // highest position reported
@@ -165,7 +166,10 @@
 	}
 	e.zone = info.Zone
 	e.listedPrimary = info.Primary
-	e.startedAt = max(e.startedAt, info.StartedAt)
+	if info.StartedAt >= e.startedAt {
+		e.startedAt = info.StartedAt
+		e.startListed = true
+	}
 	if info.State == Removed {
 		e.removedAt = min(e.removedAt, now)
 		return
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -109,6 +109,7 @@
 	Attempts []Attempt // in the order in which they were sent
 
 	delivered         bool    // an endpoint may have had an attempt
+	unsentAttempts    int     // attempts that did not leave this process
 	uncertainRuns     int     // attempts that may have run without an answer
 	uncertainAt       float64 // when the first of those was sent
 	uncertainEndpoint int     // and where
