--- a/cmd/stoatdale/syscalls_test.go
+++ b/cmd/stoatdale/syscalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -62,3 +63,27 @@
 	assert.Empty(t, waiting.readReply(), "the welcome")
 	assert.Equal(t, "EMPTY", waiting.readReply())
 }
+
+// A request that is written while its resting connection is being ended was not taken: the router does not read it, so
+// that its client may send it elsewhere.
+func TestRequestThatCrossesTheEndOfItsConnectionIsNotRead(t *testing.T) {
+	b := newTestBackend(t, answerAs("on"))
+	r := startRouter(t, listEntry(b, "b", "ready", "on"))
+	client := r.connect()
+	assert.Equal(t, "EMPTY", client.query(""))
+	r.signal(unix.SIGTERM)
+	assert.Equal(t, " END", client.readReply())
+	client.send(pg.AppendQuery(nil, readStatement("k")))
+	raw, err := client.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var socketError int
+	for deadline := time.Now().Add(patience); socketError == 0 && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			socketError, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		}))
+		require.NoError(t, err)
+	}
+	assert.NotZero(t, socketError, "closing over what was not read resets the connection")
+	assert.Empty(t, b.statements)
+	assert.Contains(t, r.waitForLog(`"message":"counters"`), `"received":0`)
+}
--- a/internal/frontend/phase_test.go
+++ b/internal/frontend/phase_test.go
@@ -69,3 +69,20 @@
 	h.server.Shutdown()
 	assert.Contains(t, h.readAll(received), "value of a1")
 }
+
+// A client stops in the middle of a message while the command before it is in flight. The message's time runs all the
+// same: the error comes right behind the answer.
+func TestIncompleteMessageBehindACommandInFlightTimesOutInItsTime(t *testing.T) {
+	h := newHarness(t, func(l *config.Limits) { l.Durations.MessageTimeout = 0.3 })
+	release := make(chan struct{})
+	backend := h.startBackend(func(b *fakeBackend) { b.answer = valueRowAfter(release) })
+	_, received := h.client(startupThen(patientQuery("a1"), patientQuery("a2")[:20]))
+	h.runUntil(backend.hasReceived(1))
+	sentAt := h.loop.Now()
+	h.runUntil(func() bool { return h.loop.Now() > sentAt+0.25 })
+	close(release)
+	got := h.readAll(received)
+	assert.Less(t, h.loop.Now(), sentAt+0.5, "not a whole timeout after the answer")
+	assert.Contains(t, got, "value of a1")
+	assert.Contains(t, got, pg.CodeProtocolViolation)
+}
