Cancel requests, commands that cross their connection's end, half messages, the last call

- Cancel requests: the start-up reply gave out a key of zeros, and requests were passed over; the command went on and could be tried again.
Each connection has a key of its own from the system's secure source; a cancel request has nothing new sent for the commands taken from its connection, also those that lie in its socket, and each is answered at once with 57014.
- After ending its sending a connection read up to 1 MiB and dropped it ('read and closed with no answer').
It is not read any more: what crosses the end was not taken, and its client may send it elsewhere.
- Half a message behind a command in flight: its 2 s began when the answer was written, so that its error could come after 5 s; they begin with its first byte.
- The last call after SIGTERM was 0.65 s after the signal, 0.80 s where the router is held up at it, and commands are owed until 0.7 s: now 0.55 s.

--- a/cmd/stoatdale/cancel_test.go
+++ b/cmd/stoatdale/cancel_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +43,14 @@
 	require.Equal(r.t, " END", client.readReply())
 }
 
+func TestEachConnectionHasACancelKeyOfItsOwn(t *testing.T) {
+	r := startRouter(t)
+	_, first := r.connectWithKey()
+	_, second := r.connectWithKey()
+	assert.NotEqual(t, strings.Repeat("\x00", 8), first)
+	assert.NotEqual(t, first, second)
+}
+
 // The attempt that is out when its client cancels ends without an answer: it is not tried again elsewhere.
 func TestCanceledCommandIsAnsweredAtOnceAndNotRetried(t *testing.T) {
 	release := make(chan struct{})
@@ -58,3 +67,34 @@
 	assert.EqualValues(t, 1, r.counters()["attempts"])
 	assert.Equal(t, 1, len(a.statements)+len(b.statements))
 }
+
+// A command that waits for an endpoint, and those behind it on its connection, are canceled without an attempt. The
+// connection takes new commands.
+func TestCanceledCommandThatWaitsIsNeverSent(t *testing.T) {
+	b := newTestBackend(t, answerAs("on"))
+	r := startRouter(t, listEntry(b, "b", "draining", "on"))
+	client, key := r.connectWithKey()
+	client.send(pg.AppendQuery(pg.AppendQuery(nil, readStatement("k1")), readStatement("k2")))
+	r.waitForCounter("received", 2)
+	r.cancel(key)
+	r.cancel(key) // twice in a row
+	assert.Equal(t, codeQueryCanceled, client.readReply())
+	assert.Equal(t, codeQueryCanceled, client.readReply())
+	r.discovery.publish(listEntry(b, "b", "ready", "on"))
+	assert.Equal(t, "value of k3", client.query(readStatement("k3")))
+	assert.Len(t, b.statements, 1)
+}
+
+func TestCancelRequestWithAnotherKeyCancelsNothing(t *testing.T) {
+	release := make(chan struct{})
+	b := newTestBackend(t, func(q string) []byte { <-release; return answerAs("on")(q) })
+	r := startRouter(t, listEntry(b, "b", "ready", "on"))
+	client, key := r.connectWithKey()
+	client.send(pg.AppendQuery(nil, readStatement("k")))
+	receive(t, b.statements)
+	wrong := []byte(key)
+	wrong[7] ^= 1
+	r.cancel(string(wrong))
+	close(release)
+	assert.Equal(t, "value of k", client.readReply())
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -19,7 +19,6 @@
 	DiscoveryLine    int   // longest header line of the discovery service's replies
 	StartupPacket    int   // longest start-up packet of a client
 	StatementComment int   // longest routing comment of a statement
-	DiscardedInput   int   // input discarded from a closing client before its connection is cut
 	ReadPerTurn      int   // read from one connection in one turn of the event loop
 	UnsentAnswers    int   // answers that a client may leave unread before it is no longer read from
 }
@@ -63,9 +62,11 @@
 	ReplyTimeout          float64 // from the first byte of a discovery reply to its last
 	MinBackoff            float64 // first backoff before discovery is called again; doubled on each failure
 	MaxBackoff            float64 // upper bound of that backoff
-	AcceptLinger          float64 // that a router told to shut down goes on accepting clients
-	DrainDeadline         float64 // after that, for clients that have not sent a query or are in the middle of a message
-	CloseLinger           float64 // for a client to close its side of a connection that was ended
+	// AcceptLinger is how long a router that was told to shut down goes on accepting clients: new ones keep coming for 0.4 s.
+	// With DrainDeadline it stays 0.15 s under the 0.7 s after which nothing may be taken: the router may be held up.
+	AcceptLinger  float64
+	DrainDeadline float64 // after that, for clients that have not sent a query or are in the middle of a message
+	CloseLinger   float64 // for a client to close its side of a connection that was ended
 }
 
 const bytesPerMB = 1 << 20
@@ -125,7 +126,6 @@
 		StartupPacket:    10000,
 		StatementComment: 1 << 10,
 		ReadPerTurn:      64 << 10,
-		DiscardedInput:   1 << 20,
 		UnsentAnswers:    longestText,
 	}
 }
@@ -176,8 +176,8 @@
 		ReplyTimeout:          1,
 		MinBackoff:            min(minBackoff, backoff),
 		MaxBackoff:            backoff,
-		AcceptLinger:          0.5,
-		DrainDeadline:         0.15,
+		AcceptLinger:          0.45,
+		DrainDeadline:         0.1,
 		CloseLinger:           1,
 	}
 }
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -6,6 +6,7 @@
 	"stoatdale.example/stoatdale/internal/buffer"
 	"stoatdale.example/stoatdale/internal/dispatcher"
 	"stoatdale.example/stoatdale/internal/eventloop"
+	"stoatdale.example/stoatdale/internal/pg"
 )
 
 // connState is what a connection does with what its client sends.
@@ -15,7 +16,7 @@
 	stateStartup        connState = iota // waits for the start-up packet
 	stateOpen                            // takes queries
 	stateSkippingToSync                  // ignores messages of a failed extended query, until Sync or a simple query
-	stateClosing                         // sends nothing more and discards its input until the client closes
+	stateClosing                         // sends nothing more, and is not read, until the client closes
 	stateClosed
 )
 
@@ -31,16 +32,17 @@
 	output  buffer.Chain // to be written
 	replies []*reply     // owed, in the order of the queries
 
-	hasQueried        bool // a complete query came
-	closeAfterReplies bool // it ends once the replies that are owed are written
+	key               pg.CancelKey // names it in a request to cancel its commands; zero before its start-up
+	hasQueried        bool         // a complete query came
+	closeAfterReplies bool         // it ends once the replies that are owed are written
 	rejectedQueries   int
-	discardedBytes    int // read while closing
 
 	// Why it is not read, and when its input may have come.
 	awaitsBuffers   bool    // it is in Server.awaitingBuffers
 	hasPending      bool    // it is in Server.pending
 	readSuspended   bool    // not watched for input at present
 	earliestArrival float64 // the earliest time at which what was read last may have come
+	messageSince    float64 // when the first part of the message that is not complete yet was there; 0: there is none
 	acceptedAt      float64
 
 	// Its place among the connections that may be closed to free a descriptor.
@@ -76,7 +78,7 @@
 			c.processUnlessClosed()
 		}
 	}
-	if readable && c.state != stateClosed {
+	if readable && c.state != stateClosed && c.state != stateClosing {
 		c.read()
 	}
 }
@@ -84,7 +86,7 @@
 // read reads what the socket holds, up to the limit of a turn, and processes it.
 func (c *conn) read() {
 	limit := c.server.limits.Sizes.ReadPerTurn
-	if c.server.buffers.Scarce() && c.state != stateClosing {
+	if c.server.buffers.Scarce() {
 		limit = c.server.limits.Sizes.BufferBlock
 		if c.input.Len() >= limit { // short commands are taken all the same
 			c.awaitBuffers()
@@ -95,28 +97,13 @@
 		c.earliestArrival = c.server.loop.ReadySince()
 	}
 	c.readSuspended = false
-	got, err := c.server.loop.Read(c.fd, &c.input, limit)
-	if c.state == stateClosing && !c.discardInput(got) {
-		return
-	}
+	_, err := c.server.loop.Read(c.fd, &c.input, limit)
 	c.process()
 	if err != nil && c.state != stateClosed {
 		c.close()
 	}
 }
 
-// discardInput drops input of a closing connection. A client that goes on sending is closed: it reports whether the
-// connection is still open.
-func (c *conn) discardInput(got int) bool {
-	c.input.Free()
-	c.discardedBytes += got
-	if c.discardedBytes > c.server.limits.Sizes.DiscardedInput {
-		c.close()
-		return false
-	}
-	return true
-}
-
 // awaitBuffers suspends reading until buffers are free.
 func (c *conn) awaitBuffers() {
 	if !c.awaitsBuffers {
@@ -136,6 +123,7 @@
 // for next.
 func (c *conn) process() {
 	c.processMessages()
+	c.noteIncompleteMessage()
 	if c.state != stateClosed && c.state != stateClosing {
 		c.closeIfDue()
 	}
@@ -156,6 +144,18 @@
 			return
 		}
 		c.phase = phaseUnset // the next message has a timeout of its own
+		c.messageSince = 0
+	}
+}
+
+// noteIncompleteMessage notes since when a message has been incomplete. Its time runs also while the answers to the
+// commands before it are owed.
+func (c *conn) noteIncompleteMessage() {
+	switch {
+	case c.input.Len() == 0 || !c.takesMessages():
+		c.messageSince = 0
+	case c.messageSince == 0:
+		c.messageSince = c.server.loop.Now()
 	}
 }
 
@@ -189,9 +189,6 @@
 
 // wantsInput reports whether the client is read at present.
 func (c *conn) wantsInput() bool {
-	if c.state == stateClosing {
-		return true
-	}
 	if c.awaitsBuffers || c.server.deadlinePassed {
 		return false
 	}
@@ -199,7 +196,8 @@
 }
 
 // beginClosing ends the connection between commands. Closing with unread input would reset the connection under a reply
-// just written, so only sending ends, and what the client still sends is discarded until it closes.
+// just written, so only sending ends until the client closes. What it still sends is left unread: a command that crosses
+// the end was not taken, and its client sends it elsewhere.
 func (c *conn) beginClosing() {
 	c.state = stateClosing
 	c.input.Free()
@@ -214,6 +212,7 @@
 	c.state = stateClosed
 	c.leaveShedQueue()
 	delete(c.server.conns, c)
+	delete(c.server.cancelable, c.key)
 	if c.server.listenerClosed && len(c.server.conns) == 0 {
 		c.server.loop.StopTimer(c.server.drainTimer)
 	}
--- a/internal/frontend/message.go
+++ b/internal/frontend/message.go
@@ -79,22 +79,24 @@
 // processStartup processes what comes before the first message: the start-up packet, or a request for encryption or
 // cancellation.
 func (c *conn) processStartup() (more bool) {
-	kind, ok, err := pg.ReadStartup(&c.input, c.server.limits.Sizes.StartupPacket)
+	startup, ok, err := pg.ReadStartup(&c.input, c.server.limits.Sizes.StartupPacket)
 	switch {
 	case err != nil:
 		c.protocolError(pg.CodeProtocolViolation, err.Error())
 		return false
 	case !ok:
 		return false
-	case kind == pg.StartupEncryption:
+	case startup.Kind == pg.StartupEncryption:
 		c.send([]byte{'N'}) // encryption is not supported
 		return true
-	case kind == pg.StartupCancel:
+	case startup.Kind == pg.StartupCancel:
+		c.server.cancelCommands(startup.Key)
 		c.close()
 		return false
 	}
 	c.state = stateOpen
-	c.send(pg.AppendStartupReply(nil))
+	c.key = c.server.newCancelKey(c)
+	c.send(pg.AppendStartupReply(nil, c.key))
 	return true
 }
 
--- a/internal/frontend/phase.go
+++ b/internal/frontend/phase.go
@@ -66,7 +66,7 @@
 	case phaseAwaitingFirstQuery:
 		return c.acceptedAt + durations.FirstQueryTimeout
 	case phaseReadingMessage:
-		return now + durations.MessageTimeout
+		return max(now, c.messageSince+durations.MessageTimeout)
 	case phaseWritingAnswer:
 		return now + durations.WriteStallTimeout
 	case phaseIdle:
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -15,6 +15,7 @@
 	"stoatdale.example/stoatdale/internal/dispatcher"
 	"stoatdale.example/stoatdale/internal/eventloop"
 	"stoatdale.example/stoatdale/internal/metrics"
+	"stoatdale.example/stoatdale/internal/pg"
 )
 
 // Dispatcher carries out the commands that clients send.
@@ -41,6 +42,8 @@
 	Dispatcher Dispatcher
 	Counters   *metrics.Counters
 	Log        zerolog.Logger
+	// DrawCancelKey draws a key that nobody can guess.
+	DrawCancelKey func() pg.CancelKey
 }
 
 // Server is a client listener and its connections.
@@ -60,6 +63,9 @@
 	resumeTimer *eventloop.Timer // ends a pause in accepting
 	conns       map[*conn]bool
 
+	drawCancelKey func() pg.CancelKey
+	cancelable    map[pg.CancelKey]*conn // connections by their keys
+
 	// Connections that may be closed to free a descriptor, in the order in which the queues are tried. Each holds
 	// the connection first that has been in it for the longest.
 	closing list.List // the server has ended them and waits for the client to close
@@ -88,6 +94,9 @@
 		log:        options.Log,
 		groups:     map[string]int{},
 		conns:      map[*conn]bool{},
+
+		drawCancelKey: options.DrawCancelKey,
+		cancelable:    map[pg.CancelKey]*conn{},
 	}
 	s.ReloadGroups()
 	s.resumeTimer = eventloop.NewTimer(func() { s.setAccepting(true) })
--- a/internal/lab/testserver/member.go
+++ b/internal/lab/testserver/member.go
@@ -97,7 +97,7 @@
 	if _, err := r.Discard(int(n) - 4); err != nil {
 		return
 	}
-	_, _ = c.Write(pg.AppendStartupReply(nil))
+	_, _ = c.Write(pg.AppendStartupReply(nil, pg.CancelKey{}))
 	for {
 		kind, body, err := pg.ReceiveMessage(r, longest)
 		if err != nil || kind != 'Q' || len(body) == 0 {
--- a/internal/lab/testserver/router.go
+++ b/internal/lab/testserver/router.go
@@ -166,7 +166,7 @@
 		_, _ = io.Copy(io.Discard, r)
 		return
 	}
-	_, _ = c.Write(pg.AppendStartupReply(nil))
+	_, _ = c.Write(pg.AppendStartupReply(nil, pg.CancelKey{}))
 	for {
 		if _, _, err := pg.ReceiveMessage(r, longest); err != nil {
 			return
--- a/internal/modelcheck/models/member.go
+++ b/internal/modelcheck/models/member.go
@@ -204,7 +204,7 @@
 // answer is what the member says to a question; "" is the start-up.
 func answerTo(question string) []byte {
 	if question == "" {
-		return pg.AppendStartupReply(nil)
+		return pg.AppendStartupReply(nil, pg.CancelKey{})
 	}
 	v := "value " + strings.SplitN(question, "'", 3)[1]
 	b := pg.AppendMessage(nil, 'T', []byte("\x00\x01doc\x00"), make([]byte, 18))
--- a/internal/pg/errors.go
+++ b/internal/pg/errors.go
@@ -11,6 +11,7 @@
 	CodeReadOnlyTransaction   = "25006" // the backend is not the primary
 	CodeSnapshotTooOld        = "72000" // the backend is too stale for the read
 	CodeSystemError           = "58000" // it is not known whether the command ran
+	CodeQueryCanceled         = "57014" // the client has canceled the command, which may have run
 	CodeCannotConnectNow      = "57P03" // the server is shutting down; the command was not run
 	CodeProtocolViolation     = "08P01"
 	CodeSyntaxError           = "42601"
--- a/internal/pg/startup.go
+++ b/internal/pg/startup.go
@@ -27,25 +27,44 @@
 	StartupCancel                        // the cancellation of a query; the connection is to be closed
 )
 
+// cancelKeySize is the size of a CancelKey on the wire, in bytes.
+const cancelKeySize = 8
+
+// CancelKey names a session in a request to cancel its queries. Only who was given it at the session's start knows it.
+type CancelKey [cancelKeySize]byte
+
+// Startup is a start-up packet.
+type Startup struct {
+	Kind StartupKind
+	Key  CancelKey // of StartupCancel: the session whose queries are to be canceled
+}
+
 // ReadStartup takes a start-up packet of at most so many bytes off a chain. ok is false while it is not complete. Its
 // errors are of the types *StartupLengthError and *VersionError.
-func ReadStartup(in *buffer.Chain, maxLength int) (kind StartupKind, ok bool, err error) {
+func ReadStartup(in *buffer.Chain, maxLength int) (startup Startup, ok bool, err error) {
 	var header [startupHeader]byte
 	got := in.Peek(header[:])
 	if got < lengthSize {
-		return 0, false, nil
+		return Startup{}, false, nil
 	}
 	length := int(int32(binary.BigEndian.Uint32(header[:])))
 	if length < startupHeader || length > maxLength {
-		return 0, false, &StartupLengthError{Length: length}
+		return Startup{}, false, &StartupLengthError{Length: length}
 	}
 	if in.Len() < length {
-		return 0, false, nil
+		return Startup{}, false, nil
+	}
+	if startup.Kind, err = startupKind(binary.BigEndian.Uint32(header[lengthSize:])); err != nil {
+		in.Discard(length)
+		return Startup{}, false, err
+	}
+	if startup.Kind == StartupCancel && length == startupHeader+cancelKeySize {
+		var packet [startupHeader + cancelKeySize]byte
+		in.Peek(packet[:])
+		copy(startup.Key[:], packet[startupHeader:])
 	}
-	code := binary.BigEndian.Uint32(header[lengthSize:])
 	in.Discard(length)
-	kind, err = startupKind(code)
-	return kind, err == nil, err
+	return startup, true, nil
 }
 
 // startupKind returns what a start-up packet's code asks for.
@@ -62,14 +81,15 @@
 	return 0, &VersionError{Major: major, Minor: minor}
 }
 
-// AppendStartupReply appends what a server sends in answer to a client's start-up packet, ReadyForQuery included.
-func AppendStartupReply(b []byte) []byte {
+// AppendStartupReply appends what a server sends in answer to a client's start-up packet, ReadyForQuery included. The key
+// is the session's; one of zeros names none.
+func AppendStartupReply(b []byte, key CancelKey) []byte {
 	b = AppendMessage(b, kindAuthentication, []byte{0, 0, 0, 0})
 	b = AppendParameterStatus(b, "server_version", "16.0")
 	b = AppendParameterStatus(b, "server_encoding", "UTF8")
 	b = AppendParameterStatus(b, "client_encoding", "UTF8")
 	b = AppendParameterStatus(b, "standard_conforming_strings", "on")
-	b = AppendMessage(b, kindBackendKeyData, make([]byte, 8))
+	b = AppendMessage(b, kindBackendKeyData, key[:])
 	return AppendReadyForQuery(b)
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"crypto/rand"
 	"io"
 
 	"github.com/rs/zerolog"
@@ -12,6 +13,7 @@
 	"stoatdale.example/stoatdale/internal/dispatcher"
 	"stoatdale.example/stoatdale/internal/eventloop"
 	"stoatdale.example/stoatdale/internal/frontend"
+	"stoatdale.example/stoatdale/internal/pg"
 )
 
 // Config is what a router is started with; Load reads it.
@@ -62,6 +64,8 @@
 		Dispatcher: r.core,
 		Counters:   &r.counters,
 		Log:        log,
+
+		DrawCancelKey: drawCancelKey,
 	})
 	if err != nil {
 		return nil, err
@@ -70,6 +74,12 @@
 	return r, nil
 }
 
+// drawCancelKey draws a key from the system's secure source, which never fails on Linux.
+func drawCancelKey() (key pg.CancelKey) {
+	_, _ = rand.Read(key[:])
+	return key
+}
+
 // Run serves until the router has drained, or the event loop fails. It is called once.
 func (r *Router) Run() error {
 	defer close(r.stopped)
