--- a/cmd/stoatdale/soak_backend_test.go
+++ b/cmd/stoatdale/soak_backend_test.go
@@ -54,15 +54,7 @@
 // answer notes a statement and answers it as the backend's trouble has it.
 func (s *soak) answer(b *soakBackend, statement string) []byte {
 	turnedAway := s.ledger.arrived(b.id, statement)
-	if at := b.notifiedAt.Load(); b.draining.Load() && at != nil {
-		if late := time.Since(*at) - s.grace - graceSlack; late > 0 {
-			s.ledger.note(func() {
-				if late > s.ledger.heldUp {
-					s.ledger.broken = append(s.ledger.broken, fmt.Sprintf("%s got a command %v after the drain's grace", b.id, late))
-				}
-			})
-		}
-	}
+	s.checkDrain(b)
 	refusal := func(code string) []byte {
 		turnedAway()
 		return pg.AppendReadyForQuery(pg.AppendErrorResponse(nil, false, code, "", ""))
@@ -91,6 +83,20 @@
 	return answerAs(b.recovery())(statement)
 }
 
+// checkDrain notes a command that comes to a draining backend after the grace.
+func (s *soak) checkDrain(b *soakBackend) {
+	at := b.notifiedAt.Load()
+	if at == nil {
+		return
+	}
+	late := time.Since(*at) - s.grace - graceSlack
+	s.ledger.note(func() {
+		if late > s.ledger.heldUp {
+			s.ledger.broken = append(s.ledger.broken, fmt.Sprintf("%s got a command %v after the drain's grace", b.id, late))
+		}
+	})
+}
+
 // entries are the rows of the endpoint list as it is now.
 func (s *soak) entries() []string {
 	var entries []string
--- a/internal/frontend/late_attempt_test.go
+++ b/internal/frontend/late_attempt_test.go
@@ -70,6 +70,6 @@
 		end := time.Now().Add(longHold)
 		h.runUntil(func() bool { return time.Now().After(end) })
 		assert.Empty(t, backend.ids())
-		assert.EqualValues(t, 1, h.dispatcher.InFlight(), "it waits for another endpoint")
+		assert.Equal(t, 1, h.dispatcher.InFlight(), "it waits for another endpoint")
 	}
 }
