Slow start: seven tenths of the answered work, charged by work alone

Cause: half of a rate that is now a lower bound of a warm endpoint's capacity, and light commands charged as whole ones.

An attempt costs its work.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -251,7 +251,8 @@
 	if c.state != stateAwaitingAnswer {
 		result = unsentResult(result)
 	}
-	if c.state == stateConnecting || c.state == stateStartup {
+	opening := c.state == stateConnecting || c.state == stateStartup
+	if opening && result != router.NeverSent {
 		c.pool.counters.BackendConnectFailures++
 	}
 	now := c.pool.loop.Now()
--- a/internal/router/maintenance.go
+++ b/internal/router/maintenance.go
@@ -99,7 +99,7 @@
 			ejected++
 		} else if now-e.startedAt >= r.config.SlowStart {
 			rate += e.attemptSum / r.decayTime
-			throughput += min(e.attemptSum, e.servedSum) / r.decayTime
+			throughput += e.servedSum / r.decayTime
 			warm++
 		}
 	}
--- a/internal/router/slowstart.go
+++ b/internal/router/slowstart.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	slowStartMargin = 0.5  // of the overload factor that a cold endpoint gets over its share
+	slowStartMargin = 0.7  // of the overload factor that a cold endpoint gets over its share: the rest is for chance
 	slowStartBurst  = 0.25 // of the overload window whose budget is granted at once
 )
 
@@ -33,10 +33,10 @@
 	return e.slowStartBudget >= 1
 }
 
-// chargeSlowStart takes an attempt from the budget of an endpoint in slow start: its work in commands of the mean service
-// time, and one command at least.
+// chargeSlowStart takes an attempt from the budget of an endpoint in slow start: its work, in commands of the mean service
+// time.
 func (r *Router) chargeSlowStart(now float64, e *endpoint, g *group) {
 	if now-e.startedAt < r.config.SlowStart {
-		e.slowStartBudget -= max(1, r.relativeWork(g))
+		e.slowStartBudget -= r.relativeWork(g)
 	}
 }
