--- a/cmd/stoatdale/reload_test.go
+++ b/cmd/stoatdale/reload_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -102,3 +104,33 @@
 	assert.Contains(t, r.waitForLog("changed keys"), `["settings"]`)
 	assert.Zero(t, r.counters()["settings_migrations"])
 }
+
+// The agent to which a router moves is behind the one before: what that one has said of a drain stands until the new one
+// has caught up.
+func TestOlderListAfterAMoveRevivesNoDrainingBackend(t *testing.T) {
+	a, b := newTestBackend(t, answerAs("on")), newTestBackend(t, answerAs("on"))
+	before := newScriptedDiscovery(t, answerList(5, listEntry(a, "a", "ready", "on"), listEntry(b, "b", "draining", "on")))
+	caughtUp := make(chan struct{})
+	both := []string{listEntry(a, "a", "ready", "on"), listEntry(b, "b", "ready", "on")}
+	newer := answerList(6, both...)
+	after := newScriptedDiscovery(t, answerList(3, both...), func(w io.Writer, request *http.Request) {
+		<-caughtUp
+		newer(w, request)
+	})
+	r := startRouterWith(t, routerOptions{discovery: before}, both...)
+	r.waitForLog(`"generation":5`)
+	r.reload(`"discovery":"`+before, `"discovery":"`+after)
+	r.waitForLog(`"generation":3`)
+	c := r.connect()
+	for i := range 20 {
+		key := fmt.Sprint("k", i)
+		assert.Equal(t, "value of "+key, c.query(readStatement(key)))
+	}
+	assert.Empty(t, b.statements, "which drains")
+	close(caughtUp)
+	r.waitForLog(`"generation":6`)
+	for i := range 40 {
+		c.query(readStatement(fmt.Sprint("n", i)))
+	}
+	assert.NotEmpty(t, b.statements, "which is ready again")
+}
