An older list after a move revives nothing that a newer one has called draining

Rows of an older list are marked, and the router passes those over that would revive an endpoint of the same life; after a minute an address that stays behind counts anew.

--- a/cmd/stoatdale/testbackend_test.go
+++ b/cmd/stoatdale/testbackend_test.go
@@ -25,6 +25,7 @@
 	closed     chan struct{} // one value for each connection that has ended
 	answer     answerFunc
 	position   func() time.Time // that it reports to health checks
+	greet      func()           // is called before a connection is greeted
 }
 
 // newTestBackend serves until the test ends.
@@ -40,6 +41,7 @@
 		closed:     make(chan struct{}, most),
 		answer:     answer,
 		position:   time.Now,
+		greet:      func() {},
 	}
 	go func() {
 		for {
@@ -59,6 +61,7 @@
 	if skipStartup(reader) != nil {
 		return
 	}
+	b.greet()
 	_, _ = connection.Write(pg.AppendStartupReply(nil, pg.CancelKey{}))
 	for {
 		kind, body, err := readMessage(reader)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -36,6 +36,7 @@
 	endpoints *idtable.Table[string] // an id is released when the router lets the endpoint go
 	shards    *idtable.Table[int]    // as many as the deployment has, so that none is ever released
 	zones     *idtable.Table[string] // the same
+	newest    newestList
 	commands  commandTable
 
 	gathered events
--- a/internal/dispatcher/list.go
+++ b/internal/dispatcher/list.go
@@ -46,13 +46,34 @@
 	}
 }
 
+// outdatedSpan is how long, in seconds, an older list counts as that of an agent that is behind. One that stays behind for
+// longer counts its generations anew.
+const outdatedSpan = 60
+
+// newestList is the newest generation of the list that was told.
+type newestList struct {
+	generation int64
+	toldAt     float64 // loop time
+}
+
+// isAhead takes in a generation, and reports whether a newer one was told lately.
+func (n *newestList) isAhead(generation int64, now float64) bool {
+	if generation < n.generation && now-n.toldAt < outdatedSpan {
+		return true
+	}
+	*n = newestList{generation: generation, toldAt: now}
+	return false
+}
+
 // updateEndpoints takes a list over. One that is cached counts as complete, whatever it says.
 func (d *Dispatcher) updateEndpoints(now float64, list endpoint.List, cached bool) {
+	outdated := d.newest.isAhead(list.Generation, d.loop.Now())
 	infos := make([]router.EndpointInfo, 0, len(list.Endpoints))
 	ready := map[int]bool{}
 	for i := range list.Endpoints {
 		row := &list.Endpoints[i]
 		info := d.endpointInfo(row)
+		info.Outdated = outdated
 		d.backends.SetAddress(info.Index, row.Address, row.State == endpoint.StateGone)
 		ready[info.Index] = row.State == endpoint.StateReady
 		infos = append(infos, info)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -74,3 +74,22 @@
 	a = r.AttemptEnded(11, c, AttemptResult{Result: Overloaded, Position: -1})
 	assert.NotEqual(t, Reject, a.Action, "an endpoint has had this one")
 }
+
+// An agent that is behind names endpoints as ready of which the one before has said that they drain or are gone.
+func TestOutdatedRowRevivesNothingOfTheSameLife(t *testing.T) {
+	r := testRouter(t, testConfig())
+	row := func(i int, state EndpointState, startedAt float64, outdated bool) EndpointInfo {
+		return EndpointInfo{Index: i, State: state, StartedAt: startedAt, Outdated: outdated}
+	}
+	r.UpdateEndpoints(10, []EndpointInfo{row(1, Draining, 3, false), row(2, Removed, 3, false)}, false, false)
+	behind := []EndpointInfo{row(0, Ready, 3, true), row(1, Ready, 3, true), row(2, Ready, 3, true)}
+	for _, complete := range []bool{false, true} {
+		r.UpdateEndpoints(11, behind, complete, false)
+		assert.True(t, r.eligible(&r.endpoints[0]))
+		assert.False(t, r.eligible(&r.endpoints[1]), "it drains")
+		assert.False(t, r.eligible(&r.endpoints[2]), "it is gone")
+	}
+	r.UpdateEndpoints(12, []EndpointInfo{row(1, Ready, 11, true), row(2, Ready, 3, false)}, false, false)
+	assert.True(t, r.eligible(&r.endpoints[1]), "it has started anew")
+	assert.True(t, r.eligible(&r.endpoints[2]), "a newer list calls it ready")
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -241,6 +241,7 @@
 		r.subscribed = true
 		r.pollFailures = 0
 	}
+	list = slices.DeleteFunc(slices.Clone(list), r.isSuperseded)
 	if complete {
 		for i := range r.endpoints {
 			r.endpoints[i].removedAt = min(r.endpoints[i].removedAt, now)
@@ -251,6 +252,17 @@
 	}
 }
 
+// isSuperseded says that a row of an older list calls an endpoint ready of which a newer one has said, in the same life,
+// that it drains or is gone.
+func (r *Router) isSuperseded(info EndpointInfo) bool {
+	if !info.Outdated || info.State != Ready || info.Index >= len(r.endpoints) {
+		return false
+	}
+	e := &r.endpoints[info.Index]
+	unused := e.draining || !math.IsInf(e.removedAt, 1)
+	return e.shard >= 0 && unused && info.StartedAt <= e.startedAt
+}
+
 // session is what is remembered of a session, if anything.
 func (r *Router) session(id uint64) session {
 	if s, ok := r.sessions.Get(id); ok {
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -91,6 +91,7 @@
 	State     EndpointState
 	StartedAt float64 // time of its start; negative infinity if that is long ago
 	Primary   bool
+	Outdated  bool // the row is of an older list than one that was told before
 }
 
 // Command is a command in flight. The caller fills the exported fields except Attempts and keeps the value
