--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -8,7 +8,7 @@
 
 const (
 	lostFactor       = 5.0 // predicted response times after which an answer that others overtook is lost
-	firstUnsentPause = 0.1 // of catchUpWait, after the first attempt of a command that did not leave this process
+	firstUnsentPause = 0.1 // of catchUpWait, after a command's first attempt that did not leave this process
 	maxUncertainRuns = 2   // attempts that may have run, after which a command is itself at fault
 )
 
@@ -85,7 +85,7 @@
 }
 
 func (r *Router) mayCancel(c *Command, g *group, a *Attempt) bool {
-	retryable := g.Idempotency != NonIdempotent && r.attemptsLeft(c)
+	retryable := g.Idempotency != NonIdempotent && r.remainingAttempts(c) > 0
 	return r.config.CanCancel && !a.canceled && !r.connectionsCostly() && retryable
 }
 
@@ -159,15 +159,15 @@
 	return r.Route(now, c)
 }
 
-// unsentPause is how long a command waits whose attempt did not leave this process: what this machine lacked for it, a
-// descriptor or a port, it will lack in the next moment too.
+// unsentPause is how long a command waits whose attempt did not leave this process: what this machine
+// lacked for it, a descriptor or a port, it will lack in the next moment too.
 func unsentPause(c *Command) float64 {
 	return catchUpWait * min(1, firstUnsentPause*math.Exp2(float64(c.unsentAttempts-1)))
 }
 
-// attemptsLeft says whether a command may have another attempt. What did not leave this process is none.
-func (r *Router) attemptsLeft(c *Command) bool {
-	return len(c.Attempts)-c.unsentAttempts < r.config.MaxAttempts
+// remainingAttempts is how many attempts a command may still have. What did not leave this process is none.
+func (r *Router) remainingAttempts(c *Command) int {
+	return r.config.MaxAttempts - (len(c.Attempts) - c.unsentAttempts)
 }
 
 // recordContact notes that an endpoint has answered in some way, and what it said of itself.
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -12,7 +12,8 @@
 )
 
 // HealthChecked takes in the result of a health check. Only its report speaks for the endpoint's data. An
-// error says nothing, nor does a check that did not leave this process, and silence says less than an answer to a command meanwhile.
+// error says nothing, nor does a check that did not leave this process, and silence says less than an
+// answer to a command meanwhile.
 func (r *Router) HealthChecked(now float64, i int, result Result, elapsed, position float64, primary bool) {
 	e := &r.endpoints[i]
 	if result == NeverSent {
--- a/internal/router/migration.go
+++ b/internal/router/migration.go
@@ -8,11 +8,11 @@
 // endedWrites stands for the writes in flight at an earlier router until LearnFrom finds that none is.
 const endedWrites = 0.5
 
-// MigrateFrom takes over, before the first command, what an earlier router of the same process has learned and what
-// still means the same under other settings: where endpoints are, their states, roles and positions, when they
-// started, which are ejected or unreachable, slow-start budgets, and the sessions. What was learned of the earlier
-// command groups, traffic or number of routers (latencies, service times, shares, rates) starts afresh, and so does
-// what is in flight: the earlier router's attempts end there.
+// MigrateFrom takes over, before the first command, what an earlier router of the same process has learned
+// and what still means the same under other settings: where endpoints are, their states, roles and
+// positions, when they started, which are ejected or unreachable, slow-start budgets, and the sessions.
+// What was learned of the earlier command groups, traffic or number of routers (latencies, service times,
+// shares, rates) starts afresh, and so does what is in flight: the earlier router's attempts end there.
 func (r *Router) MigrateFrom(now float64, from *Router) {
 	r.endpoints = slices.Clone(from.endpoints)
 	for i := range r.endpoints {
@@ -41,8 +41,9 @@
 	e.latencySum, e.queueSum, e.answerSum = 0, 0, 0
 }
 
-// LearnFrom takes over what an earlier router of the process has just learned of a command's session. The session's
-// last commands end there after the switch, and a read that is routed here must see what they wrote.
+// LearnFrom takes over what an earlier router of the process has just learned of a command's session. The
+// session's last commands end there after the switch, and a read that is routed here must see what they
+// wrote.
 func (r *Router) LearnFrom(c *Command, from *Router) {
 	learned, known := from.session(c.Session), r.session(c.Session)
 	s := known
--- a/internal/router/primary.go
+++ b/internal/router/primary.go
@@ -50,7 +50,7 @@
 
 func (r *Router) mayTestRole(now float64, c *Command, i int) bool {
 	e := &r.endpoints[i]
-	if !r.eligible(e) || r.suspected(now, i) || now < e.roleTestAt || len(c.Attempts)-c.unsentAttempts >= r.config.MaxAttempts-1 {
+	if !r.eligible(e) || r.suspected(now, i) || now < e.roleTestAt || r.remainingAttempts(c) <= 1 {
 		return false
 	}
 	return now-e.roleAt > roleTestShare*r.longestObjective && r.slowStartAdmits(now, i)
--- a/internal/router/reportedtime.go
+++ b/internal/router/reportedtime.go
@@ -2,9 +2,10 @@
 
 import "math"
 
-// ShiftReportedTimes sets right the times that endpoints, the list and sessions' clients have told, after the caller's
-// clock turned out to be behind theirs by so many seconds (negative: ahead): what was told of before is that much
-// earlier. Where a time may be the router's own, it is only moved to the side on which it makes the router more careful.
+// ShiftReportedTimes sets right the times that endpoints, the list and sessions' clients have told, after
+// the caller's clock turned out to be behind theirs by so many seconds (negative: ahead): what was told of
+// before is that much earlier. Where a time may be the router's own, it is only moved to the side on which
+// it makes the router more careful.
 func (r *Router) ShiftReportedTimes(behind float64) {
 	for i := range r.endpoints {
 		e := &r.endpoints[i]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -80,7 +80,7 @@
 	switch {
 	case now >= c.ClientDeadline, c.Shard < 0, c.Shard >= len(r.shards):
 		return true
-	case !r.attemptsLeft(c), c.uncertainRuns >= maxUncertainRuns, !r.mayRetry(now, c, g):
+	case r.remainingAttempts(c) <= 0, c.uncertainRuns >= maxUncertainRuns, !r.mayRetry(now, c, g):
 		return true
 	case now+g.serviceTime*(1-latencySlack) > r.usefulUntil(c, g):
 		return true
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -9,9 +9,9 @@
 	"stoatdale.example/stoatdale/internal/router/rolling"
 )
 
-// This file has what a router remembers, as plain data with their bookkeeping. It decides nothing and holds no tuned
-// value. Times are in seconds on the caller's clock; a time that never was is negative infinity where the comment does
-// not say otherwise.
+// This file has what a router remembers, as plain data with their bookkeeping. It holds no tuned value.
+// Times are in seconds on the caller's clock; a time that never was is negative infinity where the comment
+// does not say otherwise.
 
 // none stands for no endpoint, and for no attempt.
 const none = -1
@@ -74,7 +74,7 @@
 	recoveryAt        float64 // when it is due for a recovery attempt
 	roleTestAt        float64 // when a write may test again whether it is the primary
 	checkedAt         float64 // last health check that was asked for
-	slowStartBudget   float64 // commands of the mean service time that it may still get while it warms up; below 0: owed,
+	slowStartBudget   float64 // commands of mean service time that it may get while it warms up; below 0: owed,
 	slowStartBudgetAt float64 // and when those were granted
 	overloadedAt      float64 // last time that it turned a command away as overloaded
 	unreachableSince  float64 // first failed contact since its last answer; positive infinity: none
@@ -143,13 +143,16 @@
 
 // unknownEndpoint is an endpoint of which nothing is known.
 var unknownEndpoint = endpoint{
-	shard: none, startedAt: math.Inf(-1), removedAt: math.Inf(1), reportedAt: math.Inf(-1), position: math.Inf(-1),
+	shard: none, startedAt: math.Inf(-1), removedAt: math.Inf(1),
+	reportedAt: math.Inf(-1), position: math.Inf(-1),
 	lag: math.Inf(1), roleAt: math.Inf(-1), answeredAt: math.Inf(-1), roleTestAt: math.Inf(-1),
 	checkedAt: math.Inf(-1), overloadedAt: math.Inf(-1), unreachableSince: math.Inf(1),
 }
 
 // unknownShard is a shard of which nothing is known.
-var unknownShard = shard{positionFloor: math.Inf(-1), newestPosition: math.Inf(-1), olderPosition: math.Inf(-1)}
+var unknownShard = shard{
+	positionFloor: math.Inf(-1), newestPosition: math.Inf(-1), olderPosition: math.Inf(-1),
+}
 
 func (r *Router) updateEndpoint(now float64, info EndpointInfo) {
 	for len(r.endpoints) <= info.Index {
@@ -252,8 +255,8 @@
 	}
 }
 
-// isSuperseded says that a row of an older list calls an endpoint ready of which a newer one has said, in the same life,
-// that it drains or is gone.
+// isSuperseded says that a row of an older list calls an endpoint ready of which a newer one has said, in
+// the same life, that it drains or is gone.
 func (r *Router) isSuperseded(info EndpointInfo) bool {
 	if !info.Outdated || info.State != Ready || info.Index >= len(r.endpoints) {
 		return false
