A start waits for a socket; the cold member's test goes by what it bears in every window

Cause: frontend.Listen took the first refusal of a listening socket as final, and a refused start fails the version. A lack that is this machine's (ENOBUFS, ENFILE, ENOMEM) is waited out for up to a second.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -7,6 +7,7 @@
 import (
 	"container/list"
 	"net/netip"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -102,7 +103,7 @@
 	s.resumeTimer = eventloop.NewTimer(func() { s.setAccepting(true) })
 	s.drainTimer = eventloop.NewTimer(s.continueDrain)
 	var err error
-	if s.listener, err = events.Listen(address, s.limits.Counts.ListenBacklog); err != nil {
+	if s.listener, err = s.listenPatiently(address); err != nil {
 		return nil, err
 	}
 	if s.Address, err = events.LocalAddress(s.listener); err != nil {
@@ -111,6 +112,22 @@
 	return s, events.Add(s.listener, s, true, false)
 }
 
+// Times of a start whose machine refuses a socket.
+const (
+	listenPatience = time.Second
+	listenPause    = 10 * time.Millisecond
+)
+
+// listenPatiently opens the listening socket. It waits out a moment in which the machine has none to give.
+func (s *Server) listenPatiently(address netip.AddrPort) (listener int, err error) {
+	for began := time.Now(); ; time.Sleep(listenPause) {
+		listener, err = s.loop.Listen(address, s.limits.Counts.ListenBacklog)
+		if !eventloop.IsLocalFailure(err) || time.Since(began) > listenPatience {
+			return listener, err
+		}
+	}
+}
+
 // ReloadGroups takes the names of the command groups from the settings as they are now. It is called after the settings
 // have changed.
 func (s *Server) ReloadGroups() {
--- a/internal/lab/invariant/cold.go
+++ b/internal/lab/invariant/cold.go
@@ -24,13 +24,19 @@
 // Sent notes a dispatch to the member, which started at a time.
 func (c *Cold) Sent(now, started float64) {
 	c.sent = slices.DeleteFunc(append(c.sent, now), func(at float64) bool { return at < now-c.FallSpan })
-	if bears := c.Overload * c.Capacity * (c.grown(now-started) - c.grown(now-started-c.FallSpan)); now-started < c.WarmIn &&
-		float64(len(c.sent)) > bears && c.broken == "" {
+	bears := c.Bears(now, started)
+	if now-started < c.WarmIn && float64(len(c.sent)) > bears && c.broken == "" {
 		c.broken, c.how = ColdBudget, fmt.Sprintf("it was sent %d within %g s, %g s after its start, and bears %.1f", len(c.sent), c.FallSpan,
 			now-started, bears)
 	}
 }
 
+// Bears is how many dispatches a member that started at a time bears within the last span.
+func (c *Cold) Bears(now, started float64) float64 {
+	age := now - started
+	return c.Overload * c.Capacity * (c.grown(age) - c.grown(age-c.FallSpan))
+}
+
 // Times of the dispatches within the last span.
 func (c *Cold) Times() []float64 { return c.sent }
 
--- a/internal/modelcheck/models/systems_test.go
+++ b/internal/modelcheck/models/systems_test.go
@@ -175,12 +175,12 @@
 				c.Take(fmt.Sprint("burst ", i))
 			}
 			sent = max(sent, len(c.check.Times()))
+			assert.LessOrEqual(t, float64(len(c.check.Times())), 0.9*c.check.Bears(c.now, c.started), "%d routers", routers)
 			c.Take("tick")
 		}
 		property, how := c.Broken()
 		assert.Empty(t, property, how)
 		assert.Greater(t, sent, 8, "%d routers: within two seconds, of some 40 asked for", routers)
-		assert.Less(t, sent, 30, "%d routers", routers)
 	}
 }
 
