--- a/cmd/stoatdale/main_test.go
+++ b/cmd/stoatdale/main_test.go
@@ -88,7 +88,7 @@
 
 // More endpoints, shards and zones than any settings name, in a list that is old, and the least limits.
 func TestStartsWithALargeEndpointListAndTheLeastLimits(t *testing.T) {
-	for _, endpoints := range []int{0, 600} {
+	for _, endpoints := range []int{0, 600, 3200} {
 		var list []string
 		for i := range endpoints {
 			list = append(list, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":"127.0.0.1:1","zone":"hall-%d","cell":%d,"lifecycle":"ready","startedAtMs":1}`,
