Cancel test: the attempt is at a backend before it is canceled

Traced: the test waited for the counter attempts, which counts before the connection is up; beside load the cancel request came first, and the attempt was rightly never written. With a greeting that is 50 ms late the old arrangement fails the same way every time, and the new one, which waits for the statement's arrival, passes. All checks stand as they were. The program is unchanged.

--- a/cmd/stoatdale/cancel_test.go
+++ b/cmd/stoatdale/cancel_test.go
@@ -59,7 +59,8 @@
 	r := startRouter(t, listEntry(a, "a", "ready", "on"), listEntry(b, "b", "ready", "on"))
 	client, key := r.connectWithKey()
 	client.send(pg.AppendQuery(nil, readStatement("k")))
-	r.waitForCounter("attempts", 1)
+	arrived := func() bool { return len(a.statements)+len(b.statements) == 1 }
+	require.Eventually(t, arrived, patience, time.Millisecond) // an attempt counts before its connection is up
 	r.cancel(key)
 	assert.Equal(t, codeQueryCanceled, client.readReply())
 	close(release)
