Review case 3: more reads and earlier closes, so that each run shows the stale reads

Change: 100 reads a second instead of 60, idle connections closed after 0.05 s instead of 0.1 s; check and bound as before.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	rate      = 60                     // requests a second
+	rate      = 100                    // requests a second
 	during    = 100 * time.Second      // 5 rounds of quiet and lag
 	quiet     = 11 * time.Second       // of a round, in which replicas catch up
 	lagging   = 9 * time.Second        // of a round, in which replicas apply the log more slowly
@@ -23,7 +23,7 @@
 	work      = 50 * time.Millisecond  // mean, of a server for a request
 	lateBy    = 200 * time.Millisecond // of a connection that comes up late
 	lateOneIn = 3                      // connections
-	idleClose = 100 * time.Millisecond // after which a server closes an idle connection
+	idleClose = 50 * time.Millisecond  // after which a server closes an idle connection
 
 	bound     = 800 * time.Millisecond // oldest data that a read may see, counted from the last byte of its sending
 	slack     = 50 * time.Millisecond  // by which every time limit is longer on sockets
