Counters tell which data hold the buffer blocks, and the size of the heap

What was missing: the log had one gauge for all buffer blocks, so that replies in line, statements, input and unread output could not be told apart, nor blocks from garbage.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -52,6 +52,15 @@
 // Unsent reports whether the last byte of the statement is not yet written. In that case the backend cannot have run it.
 func (a *Attempt) Unsent() bool { return a.conn == nil || a.conn.state != stateAwaitingAnswer }
 
+// BufferBlocks returns the number of buffer blocks that the attempt's connection holds. It does not count the statement that
+// the caller keeps.
+func (a *Attempt) BufferBlocks() int {
+	if a.conn == nil {
+		return 0
+	}
+	return a.conn.input.Blocks() + a.conn.output.Blocks() + a.conn.answer.Row.Blocks()
+}
+
 // writeStatement appends the attempt's statement to the output. It replaces the client's waiting time by the time that
 // remains until the deadline, in milliseconds and at least 1.
 func (c *conn) writeStatement(now float64) {
--- a/internal/buffer/chain.go
+++ b/internal/buffer/chain.go
@@ -12,6 +12,9 @@
 // Len returns the number of unread bytes.
 func (c *Chain) Len() int { return c.length }
 
+// Blocks returns the number of blocks that the chain holds.
+func (c *Chain) Blocks() int { return len(c.blocks) }
+
 // Reserve returns free space of at least one byte at the end. The next call on the chain must be Commit.
 func (c *Chain) Reserve() []byte {
 	last := len(c.blocks) - 1
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -136,6 +136,16 @@
 // BackendConnections returns the number of connections to backends.
 func (d *Dispatcher) BackendConnections() int { return d.backends.ConnectionCount() }
 
+// CountBuffers adds the buffer blocks that the commands in flight and their attempts hold to the counts.
+func (d *Dispatcher) CountBuffers(counts *metrics.BufferBlocks) {
+	for _, command := range d.commands.byTrackingID {
+		counts.Statements += uint64(command.Statement.Blocks())
+		if command.attempt != nil {
+			counts.Backends += uint64(command.attempt.BufferBlocks())
+		}
+	}
+}
+
 // EndpointRows returns the number of known endpoints, and the number of endpoint rows including unused ones.
 func (d *Dispatcher) EndpointRows() (known, rows int) {
 	return d.endpoints.Len(), d.backends.EndpointRows()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -144,6 +144,17 @@
 // OpenConnections returns the number of client connections.
 func (s *Server) OpenConnections() int { return len(s.conns) }
 
+// CountBuffers adds the buffer blocks that the client connections hold to the counts.
+func (s *Server) CountBuffers(counts *metrics.BufferBlocks) {
+	for c := range s.conns {
+		counts.ClientInput += uint64(c.input.Blocks())
+		counts.Unsent += uint64(c.output.Blocks())
+		for _, r := range c.replies {
+			counts.HeldReplies += uint64(r.data.Blocks())
+		}
+	}
+}
+
 // ListenerClosed reports whether a shutdown has closed the listener, so that no new clients are accepted.
 func (s *Server) ListenerClosed() bool { return s.listenerClosed }
 
--- a/internal/metrics/count.go
+++ b/internal/metrics/count.go
@@ -60,8 +60,20 @@
 	SettingsMigrations uint64 // reloads that applied changed settings to new commands
 
 	// The process.
-	BufferBlocksInUse  uint64  // gauge
-	LongestTurnSeconds float64 // duration of the event loop's longest turn
+	HeapBytes          uint64       // gauge: memory of heap objects, including those that await garbage collection
+	RuntimeBytes       uint64       // gauge: memory that the Go runtime holds
+	BufferBlocksInUse  uint64       // gauge
+	BufferBlocks       BufferBlocks // gauge: who holds the blocks in use
+	LongestTurnSeconds float64      // duration of the event loop's longest turn
+}
+
+// BufferBlocks tells which data the buffer blocks in use hold, as numbers of blocks.
+type BufferBlocks struct {
+	ClientInput uint64 // read from clients and not processed yet
+	Statements  uint64 // statements of commands in flight
+	Backends    uint64 // statements being written to backends, and answers being read from them
+	HeldReplies uint64 // replies that wait for earlier replies on their client connections
+	Unsent      uint64 // replies that clients have not read yet
 }
 
 // SetGroups replaces the command groups by which commands are counted. A group that keeps its name keeps its count.
--- a/internal/metrics/log.go
+++ b/internal/metrics/log.go
@@ -91,6 +91,18 @@
 	line.Uint64("reloads", c.Reloads)
 	line.Uint64("reloads_rejected", c.ReloadsRejected)
 	line.Uint64("settings_migrations", c.SettingsMigrations)
+	line.Uint64("heap_bytes", c.HeapBytes)
+	line.Uint64("runtime_bytes", c.RuntimeBytes)
 	line.Uint64("buffer_blocks_in_use", c.BufferBlocksInUse)
+	line.Object("buffer_blocks", &c.BufferBlocks)
 	line.Float64("longest_turn_ms", c.LongestTurnSeconds*millisecondsPerSecond)
 }
+
+// MarshalZerologObject adds the numbers of blocks to a log line.
+func (b *BufferBlocks) MarshalZerologObject(line *zerolog.Event) {
+	line.Uint64("client_input", b.ClientInput)
+	line.Uint64("statements", b.Statements)
+	line.Uint64("backends", b.Backends)
+	line.Uint64("held_replies", b.HeldReplies)
+	line.Uint64("unsent", b.Unsent)
+}
--- a/service/counters.go
+++ b/service/counters.go
@@ -1,6 +1,10 @@
 package service
 
-import "stoatdale.example/stoatdale/internal/metrics"
+import (
+	runtimemetrics "runtime/metrics"
+
+	"stoatdale.example/stoatdale/internal/metrics"
+)
 
 // Counters are the counts of what a router has accepted, forwarded and answered since its start, and gauges of its
 // present state.
@@ -37,9 +41,25 @@
 	counters.InFlight = uint64(r.dispatcher.InFlight())
 	counters.BackendConnectionsOpen = uint64(r.dispatcher.BackendConnections())
 	counters.BufferBlocksInUse = uint64(r.buffers.BlocksInUse())
+	r.frontend.CountBuffers(&counters.BufferBlocks)
+	r.dispatcher.CountBuffers(&counters.BufferBlocks)
+	counters.HeapBytes, counters.RuntimeBytes = readMemory()
 	known, rows := r.dispatcher.EndpointRows()
 	counters.EndpointsKnown = uint64(known)
 	counters.EndpointRows = uint64(rows)
 	counters.LongestTurnSeconds = r.loop.LongestTurn()
 	return counters
 }
+
+// readMemory returns the memory of the heap's objects, and the memory that the Go runtime has taken from the system and not
+// given back, in bytes.
+func readMemory() (heap, held uint64) {
+	samples := []runtimemetrics.Sample{
+		{Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/memory/classes/total:bytes"},
+		{Name: "/memory/classes/heap/released:bytes"},
+	}
+	runtimemetrics.Read(samples)
+	total, released := samples[1].Value.Uint64(), samples[2].Value.Uint64()
+	return samples[0].Value.Uint64(), total - released
+}
