buffer: released blocks stayed referenced and could not be collected

Cause: Chain.Discard and Chain.releaseLast shortened the slice of blocks and left the pointers behind its end. Blocks that the pool did not keep were meant for the garbage collector, but each connection's chains went on referring to those of the longest message they had carried: up to 17 blocks of 4 KiB for an answer of 64 KiB, for each of 740 backend connections. Pool.get did the same with the list of free blocks.

Fix: slices.Delete clears the places that it frees.

--- a/internal/buffer/chain.go
+++ b/internal/buffer/chain.go
@@ -1,5 +1,7 @@
 package buffer
 
+import "slices"
+
 // Chain is a byte queue that is stored in blocks of a Pool. Bytes are appended at its end and read from its start. An
 // empty chain holds no block. Copying a Chain value passes it on: only the copy may be used afterwards.
 type Chain struct {
@@ -141,7 +143,7 @@
 		used++
 	}
 	if used > 0 {
-		c.blocks = append(c.blocks[:0], c.blocks[used:]...)
+		c.blocks = slices.Delete(c.blocks, 0, used) // clears the places at the end, so that released blocks can be collected
 	}
 }
 
@@ -180,5 +182,5 @@
 func (c *Chain) releaseLast() {
 	last := len(c.blocks) - 1
 	c.pool.put(c.blocks[last])
-	c.blocks = c.blocks[:last]
+	c.blocks = slices.Delete(c.blocks, last, last+1)
 }
--- a/internal/buffer/chain_test.go
+++ b/internal/buffer/chain_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"math/rand"
+	"runtime"
 	"testing"
+	"weak"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -91,3 +93,39 @@
 	c.CommitBlocks(c.ReserveBlocks(2), 0)
 	assert.Zero(t, p.BlocksInUse())
 }
+
+// Guards against released blocks that cannot be collected: a chain's slice still referred to them behind its end, so that each
+// of a thousand connections kept the blocks of the longest message that it had carried.
+func TestReleasedBlocksCanBeCollected(t *testing.T) {
+	const size, blocks = 64, 64
+	releases := map[string]func(*Chain) [][]byte{ // each returns the blocks that it has released
+		"discarded": func(c *Chain) [][]byte {
+			c.Write(make([]byte, blocks*size))
+			pieces := c.Pieces(blocks)
+			c.Discard((blocks - 1) * size)
+			return pieces[:blocks-1]
+		},
+		"never used": func(c *Chain) [][]byte {
+			spaces := c.ReserveBlocks(blocks)
+			c.CommitBlocks(spaces, 1)
+			return spaces[1:]
+		},
+	}
+	for name, release := range releases {
+		pool := NewPool(size, blocks)
+		chain := pool.NewChain()
+		var released []weak.Pointer[byte]
+		for _, block := range release(&chain) {
+			released = append(released, weak.Make(&block[0]))
+		}
+		runtime.GC()
+		collected := 0
+		for _, block := range released {
+			if block.Value() == nil {
+				collected++
+			}
+		}
+		assert.Equal(t, len(released)-len(pool.free), collected, name)
+		runtime.KeepAlive(&chain)
+	}
+}
--- a/internal/buffer/pool.go
+++ b/internal/buffer/pool.go
@@ -1,6 +1,8 @@
 // Package buffer stores bytes in blocks of one size, which a pool reuses. Data longer than a block is a chain of blocks.
 package buffer
 
+import "slices"
+
 // Pool allocates blocks and reuses those that are released. It belongs to one event loop and has no lock.
 type Pool struct {
 	blockSize int // bytes
@@ -36,7 +38,7 @@
 		return make([]byte, 0, p.blockSize)
 	}
 	block := p.free[last]
-	p.free = p.free[:last]
+	p.free = slices.Delete(p.free, last, last+1)
 	return block
 }
 
