--- a/internal/backend/attempt_test.go
+++ b/internal/backend/attempt_test.go
@@ -149,11 +149,11 @@
 func TestAttemptWhoseClientHasLeftIsNotWritten(t *testing.T) {
 	f := newFixture(t)
 	f.send("d=99", distantDeadline)
-	f.clientsGone = true
+	f.sendsForbidden = true
 	c := f.accept()
 	f.run(f.hasResults(1))
 	assert.Equal(t, []router.Result{router.NeverSent}, f.results)
-	f.clientsGone = false
+	f.sendsForbidden = false
 	f.send("d=98", distantDeadline)
 	assert.Contains(t, f.receive(c, 10), "d=", "the connection is kept, and the first statement was not written to it")
 	assert.EqualValues(t, 1, f.counters.BackendConnects)
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -84,9 +84,9 @@
 }
 
 // shouldWrite reports whether the query should still be written. It returns true for a health check, and for an attempt
-// whose deadline has not passed and whose client is still there.
+// whose deadline has not passed and which may still be sent.
 func (c *conn) shouldWrite() bool {
-	return c.attempt == nil || c.pool.loop.Clock() < c.attempt.Deadline && c.pool.results.ClientPresent(c.attempt)
+	return c.attempt == nil || c.pool.loop.Clock() < c.attempt.Deadline && c.pool.results.MaySend(c.attempt)
 }
 
 // reportNeverSent reports the attempt as router.NeverSent before any of it was written, and keeps the connection.
@@ -147,7 +147,7 @@
 }
 
 // continueWriting writes more of an output that the socket accepted only in part. It does not write the rest of a
-// statement whose client has gone, whose deadline has passed or whose write timeout is over: the waiting time in the
+// statement that may no longer be sent, whose deadline has passed or whose write timeout is over: the waiting time in the
 // statement would be wrong by then. The attempt ends as never sent, because the backend cannot run a part of a statement.
 func (c *conn) continueWriting() {
 	if c.state == stateSending && (!c.shouldWrite() || c.pool.loop.Clock() >= c.writeDeadline) {
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -20,17 +20,18 @@
 // fixture holds a Pool with one endpoint, the listener on which the test acts as the backend, and the results that the Pool
 // has reported.
 type fixture struct {
-	t           *testing.T
-	pool        *Pool
-	loop        *eventloop.Loop
-	blocks      *buffer.Pool
-	counters    metrics.Counters
-	backend     net.Listener
-	results     []router.Result // results of attempts
-	values      []string        // values in the answers to attempts
-	checks      []router.Result // results of health checks
-	reports     []string        // load reports from health checks
-	clientsGone bool            // the clients of all attempts have gone
+	t        *testing.T
+	pool     *Pool
+	loop     *eventloop.Loop
+	blocks   *buffer.Pool
+	counters metrics.Counters
+	backend  net.Listener
+	results  []router.Result // results of attempts
+	values   []string        // values in the answers to attempts
+	checks   []router.Result // results of health checks
+	reports  []string        // load reports from health checks
+
+	sendsForbidden bool // no attempt may be sent any more
 }
 
 // AttemptEnded implements ResultHandler.
@@ -42,8 +43,8 @@
 	}
 }
 
-// ClientPresent implements ResultHandler.
-func (f *fixture) ClientPresent(*Attempt) bool { return !f.clientsGone }
+// MaySend implements ResultHandler.
+func (f *fixture) MaySend(*Attempt) bool { return !f.sendsForbidden }
 
 // HealthChecked implements ResultHandler.
 func (f *fixture) HealthChecked(_ int, result router.Result, _ float64, report string) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -23,9 +23,9 @@
 	// AttemptEnded receives the result of an attempt. The answer is nil unless the backend sent a complete one; the
 	// handler must free the answer's Row.
 	AttemptEnded(attempt *Attempt, result router.Result, elapsed float64, answer *pg.Answer)
-	// ClientPresent reports whether the client of the command is still there. The Pool calls it just before it writes
-	// the attempt's statement or the rest of it, and does not write if the client has gone.
-	ClientPresent(attempt *Attempt) bool
+	// MaySend reports whether the attempt may still be sent. The Pool calls it just before it writes the attempt's
+	// statement or the rest of it, and otherwise ends the attempt as router.NeverSent.
+	MaySend(attempt *Attempt) bool
 	// HealthChecked receives the result of a health check. The report is empty unless the result is router.Answered.
 	HealthChecked(endpoint int, result router.Result, elapsed float64, report string)
 }
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -16,16 +16,25 @@
 var rolesByRecovery = map[string]router.Role{"off": router.RolePrimary, "on": router.RoleReplica}
 
 // maxTurnAge is the age of a turn, in seconds, up to which the turn's poll is recent enough to tell whether a client is
-// still there. In an older turn, ClientPresent asks the client's Responder.
+// still there. In an older turn, MaySend asks the client's Responder.
 const maxTurnAge = 0.01
 
-// ClientPresent implements backend.ResultHandler.
-func (d *Dispatcher) ClientPresent(attempt *backend.Attempt) bool {
+// MaySend implements backend.ResultHandler: an attempt may be sent while its client is there and the router still allows
+// its endpoint.
+func (d *Dispatcher) MaySend(attempt *backend.Attempt) bool {
 	command := d.commands.get(attempt.CommandID)
 	if command == nil || command.clientGone {
 		return false
 	}
-	return d.loop.Clock()-d.loop.Now() < maxTurnAge || command.Responder.ClientPresent(command)
+	now := d.loop.Clock()
+	if now-d.loop.Now() >= maxTurnAge && !command.Responder.ClientPresent(command) {
+		return false
+	}
+	if !d.tracker.MaySend(now, attempt.CommandID) {
+		d.counters.SendsOutdated++
+		return false
+	}
+	return true
 }
 
 // AttemptEnded implements backend.ResultHandler.
--- a/internal/inflight/tracker.go
+++ b/internal/inflight/tracker.go
@@ -100,6 +100,12 @@
 	t.release(c)
 }
 
+// MaySend reports whether the attempt in flight of a command may still be sent. See router.MaySend.
+func (t *Tracker) MaySend(now float64, id uint32) bool {
+	c := t.commands[id]
+	return c != nil && !c.answered && c.router.MaySend(now, &c.Command)
+}
+
 // AttemptEnded passes the result of an attempt to the router and executes its decision. It ignores the result of an
 // attempt that is not in flight, or of a command that is not.
 func (t *Tracker) AttemptEnded(now float64, id uint32, result router.AttemptResult) {
--- a/internal/metrics/count.go
+++ b/internal/metrics/count.go
@@ -37,6 +37,7 @@
 	// Attempts: one command sent to one backend.
 	Attempts         uint64
 	AttemptsCanceled uint64
+	SendsOutdated    uint64                         // reads that were not sent, or not completely, because their endpoint no longer covered them
 	AttemptResults   [len(attemptResultKeys)]uint64 // by router.Result
 
 	// Backend connections.
--- a/internal/modelcheck/models/backend.go
+++ b/internal/modelcheck/models/backend.go
@@ -113,8 +113,8 @@
 // backendResults receives the results of attempts.
 type backendResults struct{ *backendSystem }
 
-// ClientPresent implements backend.ResultHandler.
-func (backendResults) ClientPresent(*backend.Attempt) bool { return true }
+// MaySend implements backend.ResultHandler.
+func (backendResults) MaySend(*backend.Attempt) bool { return true }
 
 // AttemptEnded implements backend.ResultHandler.
 func (s backendResults) AttemptEnded(attempt *backend.Attempt, result router.Result, _ float64, answer *pg.Answer) {
--- a/internal/router/consistency.go
+++ b/internal/router/consistency.go
@@ -26,6 +26,29 @@
 	}
 }
 
+// MaySend reports whether the attempt of a command that is in flight may still be sent to its endpoint. The
+// caller asks before each write of a part of it. Until the last byte is written, a bounded read's data age,
+// a session may write, and the endpoint may turn out not to be the primary, so that what covered the read
+// when Route chose the endpoint may no longer cover it. An attempt that may not be sent ends as NeverSent.
+func (r *Router) MaySend(now float64, c *Command) bool {
+	k := slices.IndexFunc(c.Attempts, func(a Attempt) bool { return a.InFlight })
+	if k < 0 {
+		return false
+	}
+	g := &r.groups[c.Group]
+	// Replicas that check reads reject those that they do not cover, and an endpoint that is not the primary
+	// rejects writes.
+	if r.config.ReplicasCheckReads || g.Consistency == PrimaryOnly {
+		return true
+	}
+	return r.covers(c.Attempts[k].Endpoint, r.primary(c.Shard), r.requiredPosition(now, c, g))
+}
+
+// covers reports whether endpoint i is known to have applied a position, or is the primary of its shard.
+func (r *Router) covers(i, primary int, position float64) bool {
+	return i == primary || r.endpoints[i].position >= position
+}
+
 // sessionPosition returns the position that a read must cover for its session. It includes what the
 // session has learned while the read waited. Unless clients send tokens, a write in flight counts as done:
 // it may be in the log with its answer under way.
@@ -98,8 +121,7 @@
 		if r.mayCover(now, position, i, primary) {
 			r.healthyReplicas++
 		}
-		covers := i == primary || e.position >= position
-		if i == primary && !ejected || !r.eligible(e) || !covers || !r.slowStartAdmits(now, i) {
+		if i == primary && !ejected || !r.eligible(e) || !r.covers(i, primary, position) || !r.slowStartAdmits(now, i) {
 			continue
 		}
 		if !ejected {
--- a/internal/router/consistency_test.go
+++ b/internal/router/consistency_test.go
@@ -250,3 +250,41 @@
 	require.Equal(t, Forward, decision.Action)
 	assert.Equal(t, 0, decision.Endpoint)
 }
+
+// Guards against stale reads over connections that come up late: the age of a replica's data was judged when the replica was
+// chosen, and not when the read was sent.
+func TestReadMayNotBeSentOnceItsEndpointNoLongerCoversIt(t *testing.T) {
+	forward := func(r *Router, group int) *Command {
+		c := newCommand(group)
+		c.ArrivedAt, c.ClientDeadline = 10.2, 12.2
+		require.Equal(t, Forward, r.Route(10.2, c).Action)
+		return c
+	}
+	chosen := func(r *Router, c *Command) *endpoint { return &r.endpoints[c.Attempts[0].Endpoint] }
+
+	r := testRouter(t, testConfig())
+	bounded := forward(r, boundedReads)
+	assert.True(t, r.MaySend(10.39, bounded))
+	assert.False(t, r.MaySend(10.41, bounded), "the data known are older than the bound")
+	chosen(r, bounded).recordReport(10.41, 0, 10.3, RoleReplica)
+	assert.True(t, r.MaySend(10.41, bounded), "the replica has reported since")
+
+	read := forward(r, sessionReads)
+	assert.True(t, r.MaySend(10.3, read))
+	write := forward(r, writes)
+	assert.False(t, r.MaySend(10.35, read), "the session's write may be in the log")
+	r.AttemptEnded(10.4, write, AttemptResult{Result: Answered, Final: true, Position: 10.35})
+	assert.False(t, r.MaySend(10.4, read), "the session has written")
+	chosen(r, read).recordReport(10.4, 0, 10.35, RoleReplica)
+	assert.True(t, r.MaySend(10.4, read))
+
+	strong := forward(r, linearizableReads)
+	assert.True(t, r.MaySend(11, strong), "the primary is always current")
+	r.endpoints[0].recordReport(11, 0, 10.1, RoleReplica)
+	assert.False(t, r.MaySend(11, strong), "it has stated that it is not the primary")
+
+	assert.True(t, r.MaySend(12, forward(r, eventualReads)))
+	r.config.ReplicasCheckReads = true
+	assert.True(t, r.MaySend(12, bounded), "replicas reject what they do not cover")
+	assert.False(t, r.MaySend(10, newCommand(boundedReads)), "no attempt is in flight")
+}
