A held-up turn no longer puts the clock in doubt

Found by tracing it: an attempt's time of sending was taken as the time at which its answer was read less the elapsed time, but elapsed counts between the polls of two turns. In a turn held up by some milliseconds between its poll and the read it came out later than the primary's answer, which then seemed to contradict the clock; while it is in doubt, no replica's position counts until a primary answers a read again. Fix: the time of sending is kept as it was. TestClockIsNotDoubtedAfterAHeldUpTurn fails without it.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -39,7 +39,10 @@
 
 // AttemptEnded implements backend.ResultHandler.
 func (d *Dispatcher) AttemptEnded(attempt *backend.Attempt, result router.Result, elapsed float64, answer *pg.Answer) {
-	ended := endedAttempt{attempt: attempt, result: result, elapsed: elapsed, receivedAt: d.loop.Clock()}
+	ended := endedAttempt{
+		attempt: attempt, result: result, elapsed: elapsed,
+		sentAt: d.loop.Now() - elapsed, receivedAt: d.loop.Clock(),
+	}
 	if answer != nil {
 		ended.answer = *answer
 	}
@@ -81,7 +84,7 @@
 	position := float64(ended.answer.PositionMs) / millisecondsPerSecond
 	isPrimary := rolesByRecovery[ended.answer.Role] == router.RolePrimary
 	atPresent := isPrimary && !d.isWrite(command)
-	d.observeClock(newClockReading(position, ended.receivedAt-ended.elapsed, ended.receivedAt, atPresent))
+	d.observeClock(newClockReading(position, ended.sentAt, ended.receivedAt, atPresent))
 	if isPrimary {
 		d.clock.confirm()
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -198,3 +198,19 @@
 	d.tracker.ReviewDue(polled + 0.05)
 	assert.Len(t, d.pendingDecisions.sends, 1, "a later position covers the read")
 }
+
+// Guards against a clock that is doubted, so that no replica's position counts, because a turn was held up: the time at which
+// the attempt was sent was then taken to be later than the primary's answer.
+func TestClockIsNotDoubtedAfterAHeldUpTurn(t *testing.T) {
+	const answeredAt, heldUp = 20 * time.Millisecond, 50 * time.Millisecond
+	d, buffers := newTestDispatcher(t)
+	var answers recorder
+	command := submit(d, buffers, &answers)
+	time.Sleep(heldUp) // the turn's time is still 0
+	d.AttemptEnded(&backend.Attempt{CommandID: command.trackingID}, router.Answered, 0, &pg.Answer{
+		Row: buffers.NewChain(), Role: "off", PositionMs: d.loop.StartedAt().Add(answeredAt).UnixMilli(),
+	})
+	d.deliverEvents(0)
+	assert.False(t, d.clock.estimate.inDoubt())
+	assert.True(t, d.clock.confirmed)
+}
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -35,7 +35,8 @@
 	elapsed float64 // seconds
 	answer  pg.Answer
 
-	receivedAt float64 // loop time
+	// Loop times. The turn may be held up before the answer is read, so receivedAt may be later than sentAt by more than elapsed.
+	sentAt, receivedAt float64
 }
 
 // RunTurn delivers the pending events to the router, runs the reviews and the maintenance that are due, and executes the
@@ -96,7 +97,7 @@
 	report := d.readReport(check.report)
 	if check.result == router.Answered && report.unixSeconds > 0 {
 		receivedAt := d.loop.Clock()
-		d.observeClock(newClockReading(report.unixSeconds, receivedAt-check.elapsed, receivedAt, false))
+		d.observeClock(newClockReading(report.unixSeconds, now-check.elapsed, receivedAt, false))
 	}
 	d.router.HealthChecked(now, check.endpoint, check.result, check.elapsed, report.position, report.primary)
 }
