A read of earlier settings is not sent once its session has written under the new ones

A read whose connection came up after such a write's answer went to a replica that lacked it.

Fix: before it is asked, the earlier router takes over what the current one knows of the session (MergeSession, the other way round). TestReadOfEarlierSettingsIsNotSentAfterItsSessionHasWritten fails without it. Facts about endpoints that miss a move are another issue.

--- a/internal/inflight/tracker.go
+++ b/internal/inflight/tracker.go
@@ -100,10 +100,17 @@
 	t.release(c)
 }
 
-// MaySend reports whether the attempt in flight of a command may still be sent. See router.MaySend.
+// MaySend reports whether the attempt in flight of a command may still be sent. See router.MaySend. A command of an earlier
+// router has to see what its session has written and read at the current one since.
 func (t *Tracker) MaySend(now float64, id uint32) bool {
 	c := t.commands[id]
-	return c != nil && !c.answered && c.router.MaySend(now, &c.Command)
+	if c == nil || c.answered {
+		return false
+	}
+	if c.router != t.router {
+		c.router.MergeSession(&c.Command, t.router)
+	}
+	return c.router.MaySend(now, &c.Command)
 }
 
 // AttemptEnded passes the result of an attempt to the router and executes its decision. It ignores the result of an
--- a/internal/inflight/tracker_test.go
+++ b/internal/inflight/tracker_test.go
@@ -154,7 +154,9 @@
 	assert.Empty(t, tracker.earlierRouters)
 }
 
-func TestReadAfterASwitchSeesAWriteThatEndedAtTheEarlierRouter(t *testing.T) {
+// newSessionTracker returns a tracker with a primary, endpoint 0, and a replica, endpoint 1. Its groups are writes and session
+// reads. It also returns a second router with the same settings.
+func newSessionTracker() (*Tracker, *recorder, *router.Router) {
 	groups := []router.CommandGroup{
 		{
 			Consistency: router.PrimaryOnly, Idempotency: router.NonIdempotent,
@@ -171,8 +173,12 @@
 		{Index: 0, State: router.Ready, StartedAt: math.Inf(-1), Primary: true},
 		ready(1),
 	}, true, true)
+	return tracker, executor, newRouter()
+}
+
+func TestReadAfterASwitchSeesAWriteThatEndedAtTheEarlierRouter(t *testing.T) {
+	tracker, executor, secondRouter := newSessionTracker()
 	tracker.Add(10, 1, router.Command{Group: 0, Session: 9, ArrivedAt: 10, ClientDeadline: 12})
-	secondRouter := newRouter()
 	tracker.SwitchRouter(10.1, secondRouter)
 	tracker.AttemptEnded(10.2, 1, router.AttemptResult{
 		Result: router.Answered, Final: true, Elapsed: 0.2, Position: 10.15, Role: router.RolePrimary,
@@ -185,3 +191,18 @@
 	assert.Equal(t, 2, executor.forwarded)
 	assert.Equal(t, 1, executor.endpoint)
 }
+
+// Guards against a stale read of earlier settings: its connection comes up after its session has written under the new ones.
+func TestReadOfEarlierSettingsIsNotSentAfterItsSessionHasWritten(t *testing.T) {
+	tracker, executor, secondRouter := newSessionTracker()
+	tracker.Add(10, 1, router.Command{Group: 1, Session: 9, ArrivedAt: 10, ClientDeadline: 12})
+	assert.Equal(t, 1, executor.endpoint, "the session has written nothing")
+	tracker.SwitchRouter(10.1, secondRouter)
+	assert.True(t, tracker.MaySend(10.1, 1))
+	tracker.Add(10.1, 2, router.Command{Group: 0, Session: 9, ArrivedAt: 10.1, ClientDeadline: 12.1})
+	tracker.AttemptEnded(10.2, 2, router.AttemptResult{
+		Result: router.Answered, Final: true, Elapsed: 0.1, Position: 10.15, Role: router.RolePrimary,
+	})
+	assert.False(t, tracker.MaySend(10.2, 1))
+	assert.False(t, tracker.MaySend(10.2, 2), "it has its answer")
+}
--- a/internal/router/migration.go
+++ b/internal/router/migration.go
@@ -42,9 +42,9 @@
 	e.latencySum, e.queuePositionSum, e.answerCount = 0, 0, 0
 }
 
-// MergeSession merges what the previous router of the process has just learned of a command's session. After
-// the switch the session's last commands still end there, and a read routed here has to see what they
-// wrote.
+// MergeSession merges what another router of the process has learned of a command's session. After a switch
+// the session's last commands still end at the previous router, and a read routed here has to see what they
+// wrote; so has a read that is still to be sent there what the session has written here.
 func (r *Router) MergeSession(c *Command, from *Router) {
 	learned, known := from.session(c.Session), r.session(c.Session)
 	s := known
