Buffers are exhausted at half of the memory, so that input leaves room for commands that can be answered

Cause: while buffers are scarce each client connection may still have a block of input read and a block of statement, 5.2 MB for 667 clients; the 5/12 of the memory at which nothing is sent any more left 2.7 MB for them at 32 MB.

Change: the last level lies at half of the memory.

--- a/internal/buffer/pool.go
+++ b/internal/buffer/pool.go
@@ -19,8 +19,10 @@
 	// keptDivisor limits the free blocks that a pool keeps to scarceAt/keptDivisor+1. Other released blocks are left to the
 	// garbage collector.
 	keptDivisor = 4
-	// levelDivisor is the ratio of scarceAt to the number of blocks between two of the levels of MayHold, Scarce and Exhausted.
-	levelDivisor = 4
+	// holdMarginDivisor keeps scarceAt/holdMarginDivisor blocks below scarceAt free of data that are held; see MayHold.
+	holdMarginDivisor = 4
+	// passingDivisor reserves scarceAt/passingDivisor blocks above scarceAt for data that pass through; see Exhausted.
+	passingDivisor = 2
 )
 
 // NewPool returns a pool of blocks of blockSize bytes. The pool is scarce while scarceAt or more of them are in use.
@@ -30,14 +32,16 @@
 
 // MayHold reports whether data of this many more blocks may be held for an unknown time, so that blocks remain for data that
 // pass through.
-func (p *Pool) MayHold(blocks int) bool { return p.inUse+blocks <= p.scarceAt-p.scarceAt/levelDivisor }
+func (p *Pool) MayHold(blocks int) bool {
+	return p.inUse+blocks <= p.scarceAt-p.scarceAt/holdMarginDivisor
+}
 
 // Scarce reports whether at least scarceAt blocks are in use, so that callers should read less input and release data that
 // they hold for later.
 func (p *Pool) Scarce() bool { return p.inUse >= p.scarceAt }
 
 // Exhausted reports whether so many blocks are in use that nothing should be read or begun that needs another one.
-func (p *Pool) Exhausted() bool { return p.inUse > p.scarceAt+p.scarceAt/levelDivisor }
+func (p *Pool) Exhausted() bool { return p.inUse > p.scarceAt+p.scarceAt/passingDivisor }
 
 // BlocksInUse returns the number of blocks in use.
 func (p *Pool) BlocksInUse() int { return p.inUse }
