--- a/cmd/stoatdale/memory_test.go
+++ b/cmd/stoatdale/memory_test.go
@@ -298,12 +298,17 @@
 // primary.
 func (m *memoryTest) pipelineShortCommands() {
 	const commands = 64
+	m.pipelineWrites(min(memoryClients, 8**memoryMB), commands)
+}
+
+// pipelineWrites has each client send a number of short writes at once to a hanging primary.
+func (m *memoryTest) pipelineWrites(clients, commands int) {
 	m.hanging.Store(true)
 	defer m.hanging.Store(false)
 	m.whileProbing(func() {
-		m.sendAll(min(memoryClients, 8**memoryMB), func(client int) (ids []string, messages [][]byte) {
+		m.sendAll(clients, func(client int) (ids []string, messages [][]byte) {
 			for i := range commands {
-				id := fmt.Sprintf("c%03x%02x", client, i)
+				id := fmt.Sprintf("c%03x%03x", client, i)
 				ids, messages = append(ids, id), append(messages, memoryWrite(id, 1))
 			}
 			return ids, messages
@@ -336,3 +341,13 @@
 		m.waitForCounter("message_timeouts", 1)
 	})
 }
+
+// Guards against a turn that goes on until all commands are worked off which are rejected together: clients send many more
+// commands than one connection may have in flight behind a write to a hanging primary. Deadlines and windows allow for a router
+// that is held up for 0.15 s.
+func TestCommandsRejectedTogetherDoNotHoldUpTheRouter(t *testing.T) {
+	const clients, commands, longestTurnMs = 250, 700, 150
+	m := newMemoryTest(t)
+	m.pipelineWrites(clients, commands)
+	assert.Less(t, m.counters()["longest_turn_ms"], float64(longestTurnMs))
+}
