--- a/review/standin-2/stall.go
+++ b/review/standin-2/stall.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -10,7 +11,8 @@
 const (
 	stallHangAt  = 3.0   // the primary hangs
 	stallAt      = 4.0   // the router stands still
-	stallLasts   = 0.610 // and for so long
+	stallLasts   = 0.600 // and for so long
+	stallLongest = 0.610 // what the site allows
 	stallSendLag = 0.005 // from the start of the stall to the requests
 	stallWrites  = 5
 	stallWork    = 30 * time.Millisecond
@@ -34,6 +36,7 @@
 		}
 	})
 	var running sync.WaitGroup
+	var stallError error
 	for at := begin + readyAfterSec; at < begin+stallHangAt; at += 0.1 {
 		p.sleepUntil(at)
 		running.Go(func() {
@@ -46,13 +49,7 @@
 	}
 	p.sleepUntil(begin + stallAt)
 	if p.trouble != "0" && p.trouble != "hang" {
-		p.note("router", "stands still")
-		r.signal(syscall.SIGSTOP)
-		running.Go(func() {
-			p.sleepUntil(begin + stallAt + stallLasts)
-			r.signal(syscall.SIGCONT)
-			p.note("router", "goes on")
-		})
+		running.Go(func() { stallError = p.stall(r) })
 	}
 	p.sleepUntil(begin + stallAt + stallSendLag)
 	for range stallWrites {
@@ -61,5 +58,20 @@
 		})
 	}
 	running.Wait()
+	return stallError
+}
+
+// stall has a router stand still. It returns an error if that took longer than the site allows.
+func (p *play) stall(r *router) error {
+	from := p.now()
+	r.signal(syscall.SIGSTOP)
+	p.note("router", "stands still")
+	p.sleepUntil(from + stallLasts)
+	r.signal(syscall.SIGCONT)
+	lasted := p.now() - from
+	p.note("router", "goes on after %.3f s", lasted)
+	if lasted > stallLongest {
+		return fmt.Errorf("the router stood still for %.3f s, %.3f at most", lasted, stallLongest)
+	}
 	return nil
 }
