--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -82,7 +82,10 @@
 	p.ended = true
 	for _, router := range p.routers {
 		_ = syscall.Kill(-router.Process.Pid, syscall.SIGKILL) // the group has only what the play has started
-		_ = router.Wait()
+		_, _ = router.Process.Wait()
+	}
+	for _, pid := range marked(p.folder + "/") { // routers that agents of the play have started
+		_ = syscall.Kill(pid, syscall.SIGKILL)
 	}
 	_ = p.record.Flush()
 	_ = p.file.Close()
