--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -149,6 +150,29 @@
 	return fmt.Errorf("the router at %s did not become ready", r.address)
 }
 
+// reload replaces the configuration file of the router and has the router read it again, with its settings.
+func (p *play) reload(r *router, c configuration) error {
+	path := filepath.Join(p.folder, "config.json")
+	var document map[string]any
+	if err := json.Unmarshal(c.document(routerName, r.address), &document); err != nil {
+		return err
+	}
+	document["move"] = true
+	raw, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".next", raw, 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(path+".next", path); err != nil {
+		return err
+	}
+	r.signal(syscall.SIGHUP)
+	p.note("router", "gets new settings and SIGHUP")
+	return nil
+}
+
 // signal sends a signal to the router's process.
 func (r *router) signal(s syscall.Signal) { _ = r.command.Process.Signal(s) }
 
