A reply of discovery counts although its call is late

Cause: config.discoveryTimes allows a call a quarter of the grace (0.125 s) until its first byte. discovery.Watch closed the call then and opened another one with as little time, so that a service that is slower than that was never heard, and was called 5 times a second in place of once in 5 s. The same when a reply comes in parts, when the first call of a process is slow, and with polled lists above 1 s.

Change: a call that is late is reported and repeated as before, but stays open beside the next ones, four in all; the first reply counts and ends the calls before it. The watch learns how late replies are (peak-sensitive average; a held call that is answered early tells an upper bound only) and gives held calls that time, bounded so that a silent one is still replaced in time. Where replies are known to be late, a pushed list's next call is made when the hold of the last one is over, since a change just after a reply would wait for two replies else. Calls for the complete list keep their short time: a discovery that returns from a silence binds at once. Of replies that crossed, the one with the lower generation is passed over; the replies that have begun take no more memory together than one may. The connection's part of the watch is a type of its own, call.

Tests changed: the watch's fake service serves connections side by side, since late ones stay open. "One call at a time" is no property any more; in its place stand three: four at most, those that were overtaken are closed, none is given up while its reply may be on its way.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -71,9 +71,12 @@
 	ClockConfirmation float64 // longest time for which positions are rejected until a primary confirms the wall clock
 	LongPollHold      float64 // how long the discovery service may hold a call
 	SilenceTimeout    float64 // time without data from the discovery service after which a call fails; excludes the hold
-	ReplyTimeout      float64 // from the first byte of a discovery reply to its last
-	MinBackoff        float64 // first backoff before the discovery service is called again; doubled after each failure
-	MaxBackoff        float64 // upper bound of that backoff
+	// MaxReplyDelay bounds the time that a held call is given beyond SilenceTimeout, since the service has been seen to be slow.
+	MaxReplyDelay float64
+	ReplyTimeout  float64 // from the first byte of a discovery reply to its last
+	LateReplyWait float64 // for the reply to a call that is late, where other late calls need its place
+	MinBackoff    float64 // first backoff before the discovery service is called again; doubled after each failure
+	MaxBackoff    float64 // upper bound of that backoff
 	// AcceptLinger is how long a router that is shutting down continues to accept clients, since new ones keep connecting for
 	// 0.4 s. The sum of AcceptLinger and DrainDeadline stays 0.15 s below the 0.7 s after which the router may accept no
 	// command, as the router may be delayed.
@@ -116,6 +119,12 @@
 	maxSilence           = 1.0   // seconds
 	maxBackoff           = 1.0   // seconds
 	minBackoff           = 0.05  // seconds
+	lateReplyWait        = 4.0   // seconds
+
+	// pushReplyDelay and pollReplyDelay bound the delay, in seconds, that a held call allows for. If it falls silent, the next
+	// call, with as long a delay, still has to be answered by the time at which the router counts as notified.
+	pushReplyDelay = 1.0
+	pollReplyDelay = 1.5
 
 	// pushHold is the hold of a call, in seconds, if the endpoint list is pushed. The router counts as notified of changes that
 	// a silent call misses 7 s after the silence began.
@@ -205,7 +214,9 @@
 		ClockConfirmation:     1,
 		LongPollHold:          longPollHold(settings),
 		SilenceTimeout:        silence,
+		MaxReplyDelay:         maxReplyDelay(settings),
 		ReplyTimeout:          1,
+		LateReplyWait:         lateReplyWait,
 		MinBackoff:            min(minBackoff, backoff),
 		MaxBackoff:            backoff,
 		AcceptLinger:          0.45,
@@ -244,3 +255,11 @@
 	}
 	return pushHold
 }
+
+// maxReplyDelay returns the longest delay of the discovery service's replies that a held call allows for, in seconds.
+func maxReplyDelay(settings *Settings) float64 {
+	if settings.PollList {
+		return pollReplyDelay
+	}
+	return pushReplyDelay
+}
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -10,10 +10,15 @@
 // it in time.
 var ErrNoReply = errors.New("no reply")
 
+// ErrTooManyReplies is the cause of a CallError if the call was closed because the begun replies to several calls take more
+// memory than one may.
+var ErrTooManyReplies = errors.New("the replies to several calls take too much memory")
+
 // CallError reports a failed call to the discovery service.
 type CallError struct {
 	Address netip.AddrPort // address of the discovery service
-	// Err is a network error, an HTTP syntax error, an *endpoint.ParseError, *StatusError or *GenerationError, or ErrNoReply.
+	// Err is a network error, an HTTP syntax error, an *endpoint.ParseError, *StatusError or *GenerationError, ErrNoReply or
+	// ErrTooManyReplies.
 	Err error
 }
 
--- a/internal/modelcheck/models/recorded_test.go
+++ b/internal/modelcheck/models/recorded_test.go
@@ -14,7 +14,7 @@
 	"stoatdale.example/stoatdale/internal/sexp"
 )
 
-// testdata/stopped.cbor and testdata/trace.json were written by stoatctl explore run. Operators keep such files across
+// testdata/stopped.cbor, testdata/stopped-member.cbor and testdata/trace.json were written by stoatctl explore run. Operators keep such files across
 // releases, so every later release must read all their values and write the same bytes.
 
 func recordedStopped() Stopped {
@@ -51,7 +51,7 @@
 	}
 }
 
-func TestRecordedExplorationIsReadAndResumed(t *testing.T) {
+func TestRecordedExplorationIsRead(t *testing.T) {
 	file := filepath.Join("testdata", "stopped.cbor")
 	s, err := LoadStopped(file)
 	require.NoError(t, err)
@@ -59,6 +59,17 @@
 	again := filepath.Join(t.TempDir(), "stopped.cbor")
 	require.NoError(t, s.Save(again))
 	assertSameBytes(t, file, again)
+}
+
+// The file was written by the release before the watch of the endpoint list changed, of a system that has not changed since: an
+// exploration can only be resumed on code that takes the same steps.
+func TestRecordedExplorationIsReadAndResumed(t *testing.T) {
+	file := filepath.Join("testdata", "stopped-member.cbor")
+	s, err := LoadStopped(file)
+	require.NoError(t, err)
+	again := filepath.Join(t.TempDir(), "stopped.cbor")
+	require.NoError(t, s.Save(again))
+	assertSameBytes(t, file, again)
 
 	k, err := FindKind(s.System)
 	require.NoError(t, err)
