Discovery's delay is learned from slow parts too; tests of slow, silent, crowded and restarted services

Cause: a held call that a change ended told nothing of the delay, although its reply was received slowly (TestReplyDelayIsLearned... failed on the code before). Change: the time from a reply's first byte to its last counts as a lower bound of the delay.

--- a/internal/config/limits_test.go
+++ b/internal/config/limits_test.go
@@ -62,6 +62,30 @@
 	assert.Less(t, silent+0.75*(pollWindow/16+pollWindow/8+pollWindow/4), notified)
 }
 
+// A held call that falls silent is given more time if replies were late before. All the same, the next call has to be answered
+// as late as that by the time at which the router counts as notified, and the drain grace after it.
+func TestSilentCallOfASlowServiceIsReplacedInTime(t *testing.T) {
+	const pollWindow = 10.0
+	for _, polled := range []bool{false, true} {
+		for _, grace := range []float64{0.25, 0.5, 1, 2, 30} {
+			text := withDrainGrace(grace)
+			if polled {
+				text = strings.Replace(text, `"discovery":"push"`, `"discovery":"ask"`, 1)
+			}
+			config, err := load(t, text, nil)
+			require.NoError(t, err)
+			durations := config.Limits.Durations
+			backoff := durations.MinBackoff
+			if polled {
+				backoff = pollWindow / 16
+			}
+			answered := durations.LongPollHold + durations.SilenceTimeout + 2*durations.MaxReplyDelay + backoff
+			notified := math.Max(6, durations.LongPollHold+2)
+			assert.LessOrEqual(t, answered, notified+grace, "grace %g, polled: %v", grace, polled)
+		}
+	}
+}
+
 func TestNegativeDrainGraceIsAnError(t *testing.T) {
 	_, err := load(t, withDrainGrace(-1e-9), nil)
 	assert.ErrorContains(t, err, "invariants.stopSendingWithinNs")
--- a/internal/discovery/delay.go
+++ b/internal/discovery/delay.go
@@ -11,16 +11,15 @@
 // reply, receiving the part of it from the reply's first byte on, and hold the longest time for which the service may have
 // held the call.
 func (d *replyDelay) observe(elapsed, receiving, hold float64) {
-	delay := max(elapsed-hold, receiving)
-	if elapsed < hold { // how long the call was held is unknown: the service took at most the time elapsed
-		if elapsed >= d.seconds {
-			return
-		}
-		delay = elapsed
+	shortest := max(elapsed-hold, receiving)
+	longest := shortest
+	if elapsed < hold { // a change ended the hold at an unknown time
+		longest = elapsed
 	}
-	if delay >= d.seconds {
-		d.seconds = delay
-		return
+	switch {
+	case shortest > d.seconds:
+		d.seconds = shortest
+	case longest < d.seconds:
+		d.seconds += delayGain * (longest - d.seconds)
 	}
-	d.seconds += delayGain * (delay - d.seconds)
 }
--- a/internal/discovery/late_test.go
+++ b/internal/discovery/late_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"stoatdale.example/stoatdale/internal/endpoint"
 )
 
 // Times of the plays with a late service, in seconds.
@@ -30,6 +32,8 @@
 	changed    *sync.Cond
 	generation int
 	delay      time.Duration            // how late each reply is
+	oneByOne   sync.Mutex               // held while a reply is late, if isCrowded
+	isCrowded  bool                     // the service replies to one call after the other
 	stalls     func(number int) stalled // what happens to a call besides; nil: nothing
 	calls      []lateCall
 }
@@ -104,8 +108,12 @@
 	}
 	generation, complete := s.hold(request)
 	s.mu.Lock()
-	delay := s.delay
+	delay, isCrowded := s.delay, s.isCrowded
 	s.mu.Unlock()
+	if isCrowded {
+		s.oneByOne.Lock()
+		defer s.oneByOne.Unlock()
+	}
 	if stall == sentInParts {
 		w.(http.Flusher).Flush()
 	}
@@ -178,6 +186,7 @@
 // Guards against a crowded service being called again and again: once the watch knows how late the replies are, it makes no
 // call before the hold of the last one is over.
 func TestSlowServiceGetsOneCallAHold(t *testing.T) {
+	t.Parallel()
 	for _, onDemand := range []bool{false, true} {
 		service := newLateService(t, 250*time.Millisecond)
 		h := newLateHarness(t, onDemand, service)
@@ -201,3 +210,120 @@
 	}
 	return count
 }
+
+// A service that replies to one call after the other is the slower the more calls it gets.
+func TestCrowdedServiceIsHeardAndLeftAlone(t *testing.T) {
+	t.Parallel()
+	service := newLateService(t, 250*time.Millisecond)
+	service.isCrowded = true
+	h := newLateHarness(t, false, service)
+	h.watch.Poll()
+	h.runFor(t, 4*time.Second)
+	assert.True(t, h.heard(1), "%v", h.events)
+	since := time.Now()
+	h.runFor(t, 3*time.Second)
+	assert.LessOrEqual(t, float64(len(service.callsSince(since))), 3/lateHold+1)
+}
+
+// A silent service gets a call after each silence and backoff, as its return has to be noticed in time, but only a few are in
+// progress at a time. When it returns slow, its replies are heard although they take longer than these calls together.
+func TestSlowReturnFromASilenceIsHeard(t *testing.T) {
+	t.Parallel()
+	const silentFor, delay, wait = 2.0, 1.5, 1.8 // seconds; the calls in progress cover about 0.5 s
+	service := newLateService(t, delay*1000*time.Millisecond)
+	begin := time.Now()
+	service.stalls = func(int) stalled {
+		if time.Since(begin).Seconds() < silentFor {
+			return neverAnswered
+		}
+		return notStalled
+	}
+	h := newLateHarness(t, false, service)
+	h.watch.limits.Durations.LateReplyWait = wait
+	h.watch.Poll()
+	h.runFor(t, silentFor*1000*time.Millisecond)
+	assert.LessOrEqual(t, float64(len(service.callsSince(begin))), silentFor/(lateSilence+lateBackoff)+1)
+	most := 0
+	end := time.Now().Add((wait + lateSilence + lateBackoff + delay + 0.2) * 1000 * time.Millisecond)
+	require.NoError(t, h.loop.Run(func(now float64) float64 {
+		most = max(most, len(h.watch.calls()))
+		if time.Now().After(end) {
+			h.loop.Stop()
+		}
+		return now + 0.005
+	}))
+	assert.Equal(t, MaxCalls, most)
+	assert.True(t, h.heard(1), "%v", h.events)
+}
+
+// A held call that is never answered is replaced when its hold is over, also if the service was slow before.
+func TestSilentHeldCallIsReplacedInTime(t *testing.T) {
+	t.Parallel()
+	for _, delay := range []time.Duration{0, 250 * time.Millisecond} {
+		service := newLateService(t, delay)
+		h := newLateHarness(t, false, service)
+		service.stalls = func(number int) stalled {
+			if number > 8 && service.calls[number].from != "" {
+				return neverAnswered
+			}
+			return notStalled
+		}
+		h.watch.Poll()
+		for len(service.callsSince(time.Time{})) < 10 {
+			h.runFor(t, 10*time.Millisecond)
+		}
+		service.change()
+		late := lateHold + 2*delay.Seconds() + lateSilence + lateBackoff + delay.Seconds()
+		h.runFor(t, time.Duration((late+0.2)*float64(time.Second)))
+		assert.True(t, h.heard(2), "%v: %v", delay, h.events)
+	}
+}
+
+// Guards against several replies that take as much memory each as one may.
+func TestBegunRepliesTogetherAreNoLongerThanOne(t *testing.T) {
+	list := func(generation int, padding int) string {
+		body := fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[]%s}`, generation, strings.Repeat(" ", padding))
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	const limit = 1000
+	stopped := list(5, limit-100)
+	h := newHarness(t, false, stopped[:len(stopped)-10], list(6, limit-200))
+	h.watch.limits.Sizes.DiscoveryReply = limit
+	h.watch.limits.Durations.SilenceTimeout = 0.05
+	h.watch.Poll()
+	events := h.runWith(t, 2, func() { assert.LessOrEqual(t, h.watch.replyBytes(), limit) })
+	assert.Equal(t, []string{callFailed, "6 true"}, events)
+	assert.Contains(t, h.log.String(), ErrTooManyReplies.Error())
+}
+
+// After a restart of the service, its generations begin anew: calls for changes after an earlier one are of no use.
+func TestCallsAfterAGenerationOfAnEarlierServiceAreClosed(t *testing.T) {
+	h := newHarnessAt(t, false, unusedAddress)
+	useful := &call{watch: h.watch, fd: noSocket, exchange: exchange{from: 2, sentAt: 1}}
+	complete := &call{watch: h.watch, fd: noSocket, exchange: exchange{from: NoGeneration, sentAt: 1}}
+	for _, useless := range []exchange{{from: 5, sentAt: 1}, {from: NoGeneration}} {
+		h.watch.generation = 5
+		h.watch.earlier = []*call{{watch: h.watch, fd: noSocket, exchange: useless}, useful, complete}
+		h.watch.listReceived(endpoint.List{Generation: 3, Complete: true}, 0)
+		assert.Equal(t, []*call{useful, complete}, h.watch.earlier)
+	}
+}
+
+func TestReplyDelayIsLearnedAtOnceAndUnlearnedSlowly(t *testing.T) {
+	const hold = 5
+	var d replyDelay
+	d.observe(hold+0.4, 0, hold)
+	assert.InDelta(t, 0.4, d.seconds, 1e-9)
+	d.observe(3, 0, hold)
+	assert.InDelta(t, 0.4, d.seconds, 1e-9, "a change ended the hold: the delay is unknown")
+	d.observe(0.3, 0, hold)
+	assert.InDelta(t, 0.4-0.1*delayGain, d.seconds, 1e-9, "the delay was 0.3 s at most")
+	d.observe(0.6, 0, 0)
+	assert.InDelta(t, 0.6, d.seconds, 1e-9)
+	d.observe(1, 0.9, hold)
+	assert.InDelta(t, 0.9, d.seconds, 1e-9, "the reply was received slowly")
+	for range 30 {
+		d.observe(hold, 0, hold)
+	}
+	assert.Less(t, d.seconds, 0.05)
+}
