A reload that leaves discovery's address as it was abandons no call

Callers saw: with discovery 0.2 s late and SIGHUP each 0.1 s, sends to a draining host 1.5 s after its drain was told, at a grace of 0.5 s. Cause: service.apply gave the watch its address at each reload, and Watch.SetAddress closes the calls in progress, whose replies are on their way. Change: the watch is moved only if the address is another one.

--- a/cmd/stoatdale/slowdiscovery_test.go
+++ b/cmd/stoatdale/slowdiscovery_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -108,6 +109,7 @@
 
 // slowDiscoveryPlay is a play with a router, a slow discovery service, and two replicas of which one begins to drain.
 type slowDiscoveryPlay struct {
+	router          *testRouter
 	discovery       *slowDiscovery
 	a, b            *testBackend
 	lastAt          atomic.Int64 // Unix time in nanoseconds of the last command to a
@@ -137,8 +139,8 @@
 		settings["discovery"] = "ask"
 		settings["invariants"].(map[string]any)["askWithinNs"] = 10e9
 	}
-	r := startRouterWith(t, routerOptions{discovery: p.discovery.address, settings: settings, drainGrace: grace}, p.ready)
-	client := r.connect()
+	p.router = startRouterWith(t, routerOptions{discovery: p.discovery.address, settings: settings, drainGrace: grace}, p.ready)
+	client := p.router.connect()
 	stop := make(chan struct{})
 	var reading sync.WaitGroup
 	reading.Go(func() {
@@ -210,7 +212,30 @@
 	p.checkDrain(t, 0, grace)
 }
 
-// The same for a polled list, which counts as notified after six seconds at the latest. Discovery refuses calls in between.
+// Guards against reloads that abandon a call each, although the address of discovery stays the same.
+func TestDrainIsKeptWhileReloadsFollowEachOther(t *testing.T) {
+	t.Parallel()
+	const grace, delay, interval = 500 * time.Millisecond, 200 * time.Millisecond, 100 * time.Millisecond
+	p := newSlowDiscoveryPlay(t, delay, grace, false)
+	stop := make(chan struct{})
+	var signalling sync.WaitGroup
+	signalling.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval):
+				p.router.signal(syscall.SIGHUP)
+			}
+		}
+	})
+	time.Sleep(3 * delay)
+	p.checkDrain(t, 0, grace)
+	close(stop)
+	signalling.Wait()
+}
+
+// A polled list counts as notified after six seconds at the latest. Discovery refuses calls in between.
 func TestDrainIsKeptWhileAPolledDiscoveryIsSlow(t *testing.T) {
 	const grace, notifiedWithin = 250 * time.Millisecond, 6 * time.Second
 	for _, delay := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
--- a/service/reload.go
+++ b/service/reload.go
@@ -3,7 +3,7 @@
 import "stoatdale.example/stoatdale/internal/config"
 
 // Reload reads the configuration again, through env as Load did, and watches the endpoint list at the discovery address
-// that the configuration names. If the configuration sets the key move, changed settings apply to all commands received
+// that the configuration names, if it is another one. If the configuration sets the key move, changed settings apply to all commands received
 // from then on; commands in flight end under the earlier settings. Other changes take effect only after a restart;
 // Reload logs their keys. A configuration that cannot be read or is invalid is rejected as a whole, and the error is
 // logged. Reload may be called from any goroutine.
@@ -29,6 +29,9 @@
 		r.log.Warn().Strs("keys", keys).Msg("changed keys wait for a restart")
 	}
 	r.log.Info().Stringer("discovery", next.Discovery).Stringer("before", r.config.Discovery).Msg("reloaded")
+	if next.Discovery == r.config.Discovery {
+		return // calls in progress go on: a slow service would not be heard while reloads follow each other quickly
+	}
 	r.config.Discovery = next.Discovery
 	r.dispatcher.SetDiscoveryAddress(next.Discovery)
 }
