The soak also runs with a discovery that is late with its replies

Need: the soak knew a discovery that is silent, not one that is late. Change: TestSoakWithSlowDiscovery plays the soak's seeds with replies that are late by 0.26 to 0.36 of the grace, which is more than a call may be silent. Discovery does not move there, since a move loses the replies on their way; TestSoak is as it was. Failed try: late replies in half of TestSoak's own runs, with the grace counted from the last move, passed on as well: moves came too often for a drain to count.

--- a/cmd/stoatdale/soak_test.go
+++ b/cmd/stoatdale/soak_test.go
@@ -21,13 +21,15 @@
 )
 
 const (
-	soakClients        = 10                      // clients of the router at a time
-	soakReplicas       = 3                       // besides the primary
-	soakServingTime    = 2500 * time.Millisecond // time before the router gets SIGTERM
-	soakIdleClients    = 150                     // idle clients, in runs that have them
-	soakSockets        = 160
-	killMargin         = 700 * time.Millisecond // the platform sends SIGKILL this long after SIGTERM plus the longest deadline
-	maxCountedDeadline = 3 * time.Second        // longer deadlines do not delay the SIGKILL further
+	soakClients     = 10                      // clients of the router at a time
+	soakReplicas    = 3                       // besides the primary
+	soakServingTime = 2500 * time.Millisecond // time before the router gets SIGTERM
+	soakIdleClients = 150                     // idle clients, in runs that have them
+	soakSockets     = 160
+	// soakLongestSlowGrace is the longest drain grace where discovery is slow, so that drains last longer than the grace.
+	soakLongestSlowGrace = 600 * time.Millisecond
+	killMargin           = 700 * time.Millisecond // the platform sends SIGKILL this long after SIGTERM plus the longest deadline
+	maxCountedDeadline   = 3 * time.Second        // longer deadlines do not delay the SIGKILL further
 )
 
 // soak is one run of a router with backends that fail and clients that behave in random ways. The run sends a series of
@@ -39,6 +41,10 @@
 	groups       []*soakGroup
 	grace        time.Duration
 	hasIdleCrowd bool
+	// discoveryDelay is how late discovery is with each reply: 0, or longer than a call may be silent, and so short that two
+	// replies one after the other come within the grace. Discovery does not move then, since a move loses the replies on their
+	// way.
+	discoveryDelay time.Duration
 
 	backends  []*soakBackend
 	router    atomic.Pointer[testRouter]
@@ -50,18 +56,35 @@
 
 // TestSoak executes runs one after the other. To execute more: go test ./cmd/stoatdale -run TestSoak -soak.seeds 50.
 func TestSoak(t *testing.T) {
+	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			newSoak(t, seed).runAndCheck()
+		})
+	}
+}
+
+// TestSoakWithSlowDiscovery does the same with a discovery service that is late with its replies.
+func TestSoakWithSlowDiscovery(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSoak(t, seed)
-			s.run()
-			for _, violation := range s.ledger.check() {
-				t.Error(violation)
-			}
-			t.Logf("%d commands, longest stall %v, idle clients %v", len(s.ledger.commands), s.ledger.longestStall, s.hasIdleCrowd)
+			s.grace = min(s.grace, soakLongestSlowGrace)
+			s.discoveryDelay = time.Duration((0.26 + 0.1*s.rng.Float64()) * float64(s.grace))
+			s.runAndCheck()
 		})
 	}
 }
 
+// runAndCheck executes the run and reports the violations.
+func (s *soak) runAndCheck() {
+	s.run()
+	for _, violation := range s.ledger.check() {
+		s.t.Error(violation)
+	}
+	s.t.Logf("%d commands, longest stall %v, idle clients %v, discovery late by %v",
+		len(s.ledger.commands), s.ledger.longestStall, s.hasIdleCrowd, s.discoveryDelay)
+}
+
 func newSoak(t *testing.T, seed uint64) *soak {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	milliseconds := func(low, high int) time.Duration {
@@ -113,6 +136,7 @@
 	background.Go(func() { s.ledger.measureStalls(stop) })
 	router := startRouterWith(s.t, routerOptions{
 		settings: s.settings(), sockets: soakSockets, drainGrace: s.grace, seed: fmt.Sprintf("%x", s.rng.Uint64()>>1),
+		discoveryDelay: s.discoveryDelay,
 	}, s.entries()...)
 	s.router.Store(router)
 	s.discovery.Store(router.discovery)
@@ -144,6 +168,10 @@
 			case 1:
 				router.signal(syscall.SIGHUP)
 			default:
+				if s.discoveryDelay > 0 {
+					router.signal(syscall.SIGHUP)
+					continue
+				}
 				s.moveDiscovery(router)
 			}
 		}
@@ -165,7 +193,7 @@
 // moveDiscovery reloads the router's configuration with the address of a new discovery service.
 func (s *soak) moveDiscovery(router *testRouter) {
 	before := s.discovery.Load()
-	next := newTestDiscovery(s.t, strings.Join(s.entries(), ","))
+	next := newLateTestDiscovery(s.t, strings.Join(s.entries(), ","), s.discoveryDelay)
 	s.discovery.Store(next)
 	router.reload(`"discovery":"`+before.address, `"discovery":"`+next.address)
 }
--- a/cmd/stoatdale/testdiscovery_test.go
+++ b/cmd/stoatdale/testdiscovery_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -22,12 +23,19 @@
 	cond    *sync.Cond
 	lists   []string // the rows of each complete list, in JSON
 	silent  bool
+	delay   time.Duration // how late each reply is; set before the first call
 }
 
 // newTestDiscovery starts a discovery service with a first list. It serves until the test ends.
 func newTestDiscovery(t *testing.T, first string) *testDiscovery {
 	t.Helper()
-	d := &testDiscovery{lists: []string{first}}
+	return newLateTestDiscovery(t, first, 0)
+}
+
+// newLateTestDiscovery starts a discovery service that is late with each reply.
+func newLateTestDiscovery(t *testing.T, first string, delay time.Duration) *testDiscovery {
+	t.Helper()
+	d := &testDiscovery{lists: []string{first}, delay: delay}
 	d.cond = sync.NewCond(&d.mu)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -56,12 +64,19 @@
 // ServeHTTP answers a call with the present list. A poll that names the present generation is held until a later list is
 // published.
 func (d *testDiscovery) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	list := d.awaitList(request.FormValue("from"))
+	time.Sleep(d.delay)
+	_, _ = io.WriteString(w, list)
+}
+
+// awaitList returns the present list once its generation is not from.
+func (d *testDiscovery) awaitList(from string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for request.FormValue("from") == fmt.Sprint(len(d.lists)) || d.silent && len(d.lists) == 1 {
+	for from == fmt.Sprint(len(d.lists)) || d.silent && len(d.lists) == 1 {
 		d.cond.Wait()
 	}
-	_, _ = fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[%s]}`, len(d.lists), d.lists[len(d.lists)-1])
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, len(d.lists), d.lists[len(d.lists)-1])
 }
 
 // discoveryStep handles one request to a scripted discovery service. It may leave the request unanswered.
--- a/cmd/stoatdale/testrouter_test.go
+++ b/cmd/stoatdale/testrouter_test.go
@@ -34,6 +34,8 @@
 	discovery  string         // address of the discovery service; empty: testRouter.discovery
 	settings   map[string]any // nil: testSettings without health checks
 	drainGrace time.Duration  // 0: not part of the configuration
+	// discoveryDelay is how late testRouter.discovery is with each reply.
+	discoveryDelay time.Duration
 }
 
 const (
@@ -73,7 +75,7 @@
 func startRouterWith(t *testing.T, options routerOptions, endpoints ...string) *testRouter {
 	t.Helper()
 	list := strings.Join(endpoints, ",")
-	r := &testRouter{t: t, log: make(chan string, 10000), discovery: newTestDiscovery(t, list)}
+	r := &testRouter{t: t, log: make(chan string, 10000), discovery: newLateTestDiscovery(t, list, options.discoveryDelay)}
 	options.complete(r.discovery.address)
 	r.configPath = filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(r.configPath, options.document(t, list), 0o600))
