A polled discovery gets no third call while two may still be answered

Cause: a call that is late stays open, and the module polls again; on a shared service that is at its limit each of these calls makes all others later. Change: a watch on demand has two calls in progress at most. A poll beyond that counts as failed, so that the module backs off, until the older call has waited for LateReplyWait and gives way. TestPolledServiceGetsFewCallsWhileItIsSilent fails without the change (four calls in progress). At 12 calls a second, for which sixty watches are too many, some hear nothing for 20 s: open.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,6 +32,10 @@
 // MaxCalls is the largest number of calls that a watch has in progress at a time.
 const MaxCalls = 4
 
+// maxPolledCalls is that number for a watch on demand: many routers share a service that is polled, and a call more from each of
+// them makes a slow service slower.
+const maxPolledCalls = 2
+
 // Watch is a watch of the endpoint list. By default it polls continuously and repeats failed calls with backoff. A watch on
 // demand also polls continuously, but makes no call after a failed one until Poll is called.
 type Watch struct {
@@ -81,9 +85,21 @@
 	if w.current != nil || w.closed {
 		return
 	}
+	if w.onDemand && len(w.earlier) >= maxPolledCalls {
+		if !w.waitedLong(w.earlier[0]) {
+			w.currentFailed(ErrCallsInProgress)
+			return
+		}
+		w.closeEarlier(1)
+	}
 	w.startCall()
 }
 
+// waitedLong reports whether a late call has waited so long that it may make way for another one.
+func (w *Watch) waitedLong(c *call) bool {
+	return w.loop.Now()-c.lateAt > w.limits.Durations.LateReplyWait
+}
+
 // SetAddress abandons the calls in progress and immediately requests the complete list from another address. The list that
 // the handler received last stays in force until the new address replies.
 func (w *Watch) SetAddress(address netip.AddrPort) {
@@ -217,7 +233,7 @@
 func (w *Watch) keepEarlier(c *call) {
 	if len(w.earlier) == MaxCalls-1 {
 		surplus := 1
-		if w.loop.Now()-w.earlier[0].lateAt > w.limits.Durations.LateReplyWait {
+		if w.waitedLong(w.earlier[0]) {
 			surplus = 0
 		}
 		w.earlier[surplus].close()
--- a/internal/discovery/late_test.go
+++ b/internal/discovery/late_test.go
@@ -73,14 +73,17 @@
 	return h
 }
 
-// change makes a new generation of the list.
-func (s *lateService) change() {
+// update calls a function that may change the service's fields.
+func (s *lateService) update(change func()) {
 	s.mu.Lock()
-	s.generation++
+	change()
 	s.mu.Unlock()
 	s.changed.Broadcast()
 }
 
+// change makes a new generation of the list.
+func (s *lateService) change() { s.update(func() { s.generation++ }) }
+
 // callsSince returns the calls after a time.
 func (s *lateService) callsSince(since time.Time) (calls []lateCall) {
 	s.mu.Lock()
@@ -256,6 +259,33 @@
 	assert.True(t, h.heard(1), "%v", h.events)
 }
 
+// Guards against a polled service that is the more crowded the slower it is: calls that it may still answer are not multiplied.
+func TestPolledServiceGetsFewCallsWhileItIsSilent(t *testing.T) {
+	t.Parallel()
+	const duration, wait = 2.0, 0.5 // seconds
+	service := newLateService(t, 0)
+	service.stalls = func(int) stalled { return neverAnswered }
+	h := newLateHarness(t, true, service)
+	h.watch.limits.Durations.LateReplyWait = wait
+	begin := time.Now()
+	pollFor := func(seconds float64) {
+		end := time.Now().Add(time.Duration(seconds * float64(time.Second)))
+		require.NoError(t, h.loop.Run(func(now float64) float64 {
+			h.watch.Poll()
+			assert.LessOrEqual(t, len(h.watch.calls()), maxPolledCalls)
+			if time.Now().After(end) {
+				h.loop.Stop()
+			}
+			return now + 0.005
+		}))
+	}
+	pollFor(duration)
+	assert.LessOrEqual(t, float64(len(service.callsSince(begin))), maxPolledCalls*(duration/wait+1))
+	service.update(func() { service.stalls = nil })
+	pollFor(wait + lateSilence + 0.2)
+	assert.True(t, h.heard(1), "%v", h.events)
+}
+
 // A held call that is never answered is replaced when its hold is over, also if the service was slow before.
 func TestSilentHeldCallIsReplacedInTime(t *testing.T) {
 	t.Parallel()
