A poll is put off only if discovery is known to be slow, and fails no more

Change: a poll is put off only if replies are known to be later than a call may be silent, until the older call has waited for LateReplyWait; the watch makes the call itself then, and no failure is reported. A service that was not slow gets its calls as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,8 +32,8 @@
 // MaxCalls is the largest number of calls that a watch has in progress at a time.
 const MaxCalls = 4
 
-// maxPolledCalls is that number for a watch on demand: many routers share a service that is polled, and a call more from each of
-// them makes a slow service slower.
+// maxPolledCalls is the number of calls in progress beside which a watch on demand puts off the next one if the service is slow.
+// Many routers share a service that is polled, and a call more from each of them makes a slow service slower.
 const maxPolledCalls = 2
 
 // Watch is a watch of the endpoint list. By default it polls continuously and repeats failed calls with backoff. A watch on
@@ -80,25 +80,23 @@
 }
 
 // Poll starts a call, unless one is in progress that is not late, or the watch is closed. During a backoff, it starts the call
-// immediately.
+// immediately. If a watch on demand has maxPolledCalls in progress and the service is slow, the call starts once the first of
+// them has waited for LateReplyWait.
 func (w *Watch) Poll() {
 	if w.current != nil || w.closed {
 		return
 	}
-	if w.onDemand && len(w.earlier) >= maxPolledCalls {
-		if !w.waitedLong(w.earlier[0]) {
-			w.currentFailed(ErrCallsInProgress)
+	if w.onDemand && len(w.earlier) >= maxPolledCalls && w.isSlow() {
+		if startAt := w.earlier[0].lateAt + w.limits.Durations.LateReplyWait; w.loop.Now() < startAt {
+			w.loop.SetTimer(w.timer, startAt)
 			return
 		}
-		w.closeEarlier(1)
 	}
 	w.startCall()
 }
 
-// waitedLong reports whether a late call has waited so long that it may make way for another one.
-func (w *Watch) waitedLong(c *call) bool {
-	return w.loop.Now()-c.lateAt > w.limits.Durations.LateReplyWait
-}
+// isSlow reports whether the service is known to be late with its replies for longer than a call may be silent.
+func (w *Watch) isSlow() bool { return w.delay.seconds > w.limits.Durations.SilenceTimeout }
 
 // SetAddress abandons the calls in progress and immediately requests the complete list from another address. The list that
 // the handler received last stays in force until the new address replies.
@@ -189,9 +187,7 @@
 // startsSuccessors reports whether the next call for changes is made when the hold of the last one is over, instead of after
 // its reply. Otherwise a change that comes after a reply has left the service would wait for that reply, and then for the
 // reply to the next call. A polled service is spared the additional calls.
-func (w *Watch) startsSuccessors() bool {
-	return !w.onDemand && w.delay.seconds > w.limits.Durations.SilenceTimeout
-}
+func (w *Watch) startsSuccessors() bool { return !w.onDemand && w.isSlow() }
 
 // timerFired is called when the backoff is over, when the current call needs a successor, or when it is late.
 func (w *Watch) timerFired() {
@@ -233,7 +229,7 @@
 func (w *Watch) keepEarlier(c *call) {
 	if len(w.earlier) == MaxCalls-1 {
 		surplus := 1
-		if w.waitedLong(w.earlier[0]) {
+		if w.loop.Now()-w.earlier[0].lateAt > w.limits.Durations.LateReplyWait {
 			surplus = 0
 		}
 		w.earlier[surplus].close()
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -14,14 +14,11 @@
 // memory than one may.
 var ErrTooManyReplies = errors.New("the replies to several calls take too much memory")
 
-// ErrCallsInProgress is the cause of a CallError if a call was not made because earlier ones may still be answered.
-var ErrCallsInProgress = errors.New("earlier calls are still in progress")
-
 // CallError reports a failed call to the discovery service.
 type CallError struct {
 	Address netip.AddrPort // address of the discovery service
-	// Err is a network error, an HTTP syntax error, an *endpoint.ParseError, *StatusError or *GenerationError, ErrNoReply,
-	// ErrTooManyReplies or ErrCallsInProgress.
+	// Err is a network error, an HTTP syntax error, an *endpoint.ParseError, *StatusError or *GenerationError, ErrNoReply or
+	// ErrTooManyReplies.
 	Err error
 }
 
--- a/internal/discovery/late_test.go
+++ b/internal/discovery/late_test.go
@@ -259,30 +259,61 @@
 	assert.True(t, h.heard(1), "%v", h.events)
 }
 
+// pollFor runs the loop for a time and polls in each turn. It returns the largest number of calls in progress.
+func (h *harness) pollFor(t *testing.T, seconds float64) (most int) {
+	t.Helper()
+	end := time.Now().Add(time.Duration(seconds * float64(time.Second)))
+	require.NoError(t, h.loop.Run(func(now float64) float64 {
+		h.watch.Poll()
+		most = max(most, len(h.watch.calls()))
+		if time.Now().After(end) {
+			h.loop.Stop()
+		}
+		return now + 0.005
+	}))
+	return most
+}
+
 // Guards against a polled service that is the more crowded the slower it is: calls that it may still answer are not multiplied.
-func TestPolledServiceGetsFewCallsWhileItIsSilent(t *testing.T) {
+// A third call follows when the first has waited long; a poll until then is put off and does not fail.
+func TestSlowPolledServiceGetsNoThirdCallBeforeTheFirstHasWaitedLong(t *testing.T) {
 	t.Parallel()
-	const duration, wait = 2.0, 0.5 // seconds
-	service := newLateService(t, 0)
-	service.stalls = func(int) stalled { return neverAnswered }
+	const delay = 1.5 // seconds
+	service := newLateService(t, delay*1000*time.Millisecond)
 	h := newLateHarness(t, true, service)
-	h.watch.limits.Durations.LateReplyWait = wait
+	h.watch.delay.seconds = delay
 	begin := time.Now()
-	pollFor := func(seconds float64) {
-		end := time.Now().Add(time.Duration(seconds * float64(time.Second)))
-		require.NoError(t, h.loop.Run(func(now float64) float64 {
-			h.watch.Poll()
-			assert.LessOrEqual(t, len(h.watch.calls()), maxPolledCalls)
-			if time.Now().After(end) {
-				h.loop.Stop()
-			}
-			return now + 0.005
-		}))
+	assert.Equal(t, maxPolledCalls, h.pollFor(t, delay))
+	assert.Len(t, service.callsSince(begin), maxPolledCalls)
+	failures := h.failures()
+	assert.Equal(t, maxPolledCalls, failures, "a poll that has to wait is no failure")
+	h.pollFor(t, 0.2)
+	assert.True(t, h.heard(1), "%v", h.events)
+
+	service = newLateService(t, 0)
+	service.stalls = func(int) stalled { return neverAnswered }
+	h = newLateHarness(t, true, service)
+	h.watch.delay.seconds, h.watch.limits.Durations.LateReplyWait = 2*lateSilence, 0.5
+	begin = time.Now()
+	h.pollFor(t, 0.5)
+	assert.Len(t, service.callsSince(begin), maxPolledCalls)
+	h.pollFor(t, 0.15)
+	assert.Len(t, service.callsSince(begin), maxPolledCalls+1, "0.6 s after the first call it has waited long")
+}
+
+// Guards against a poll that is put off although the service, which was not slow, is silent: after two silent calls the next one
+// has to be made at once, since the service may have returned.
+func TestPolledServiceThatWasNotSlowIsCalledAtOnceAfterSilentCalls(t *testing.T) {
+	t.Parallel()
+	service := newLateService(t, 0)
+	service.stalls = func(number int) stalled {
+		if number < 2 {
+			return neverAnswered
+		}
+		return notStalled
 	}
-	pollFor(duration)
-	assert.LessOrEqual(t, float64(len(service.callsSince(begin))), maxPolledCalls*(duration/wait+1))
-	service.update(func() { service.stalls = nil })
-	pollFor(wait + lateSilence + 0.2)
+	h := newLateHarness(t, true, service)
+	h.pollFor(t, 2*lateSilence+0.1)
 	assert.True(t, h.heard(1), "%v", h.events)
 }
 
