TestConnectionsAreBounded waits until the agent counts each connection

Cause: the test took the end of a client's handshake for a connection that the agent counts. The agent may still complete its own side then, so that the test's 65th connection was now and then counted before one of the 64 and was answered. The agent's bound was kept; the test was wrong.

Change: each of the 64 connections asks for a page and reads its 404 first, which shows that the agent has counted it. The check that the next client gets no answer is as it was. New: once one of the 64 ends, a client is answered.

--- a/internal/fleet/api/api_test.go
+++ b/internal/fleet/api/api_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -130,6 +131,18 @@
 	return c
 }
 
+// dialAnswered returns a TLS connection on which the server has answered a request, so that the server counts it. The end of
+// the client's handshake does not show that: the server may not have completed its own yet.
+func (h *testHarness) dialAnswered() net.Conn {
+	connection := h.dialTLS()
+	_, err := connection.Write([]byte("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n"))
+	require.NoError(h.t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(h.t, err)
+	require.Equal(h.t, http.StatusNotFound, response.StatusCode)
+	return connection
+}
+
 func TestInvalidRequestsAreRejected(t *testing.T) {
 	harness := newHarness(t, SupportedVersions, echoHandler{})
 	conf, err := harness.keys.Credentials(pki.Operator, "ayla").ClientConfig("a1")
@@ -202,14 +215,18 @@
 
 func TestConnectionsAreBounded(t *testing.T) {
 	harness := newHarness(t, SupportedVersions, echoHandler{})
+	var connections []net.Conn
 	for range maxConnections {
-		harness.dialTLS()
+		connections = append(connections, harness.dialAnswered())
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	_, err := harness.client(SupportedVersions).Call(ctx, protocol.Request{Verb: protocol.StatusVerb})
 	require.ErrorIs(t, err, ErrNoAnswer)
-	assert.ErrorContains(t, err, "no answer in time")
+	require.ErrorContains(t, err, "no answer in time")
+	_ = connections[0].Close()
+	_, err = harness.client(SupportedVersions).Call(context.Background(), protocol.Request{Verb: protocol.StatusVerb})
+	assert.NoError(t, err, "a connection that ends makes room for another")
 }
 
 func TestWrongCertificatesAreRefusedAndLogged(t *testing.T) {
