A new client is not closed before it can send its first query

What callers saw: where more clients connect than there are descriptors, a sound client is accepted and closed again without an answer, before its start-up packet or before its first query.

Cause: at the limit a connection without a query may be closed after 10 ms (ShedGrace). That is under a round trip to a distant client, and under what a busy client waits for its processor.

Change: such a connection may be closed after 0.1 s (FirstQueryShedGrace), as one in the middle of a message. Idle ones, which have been served, after 10 ms as before.

TestClientInTheBacklogAtShutdownIsServed sets the new time to what it set the old one to.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -54,8 +54,11 @@
 	// be closed to release the answer's buffers.
 	ScarceStallTimeout float64
 	IdleTimeout        float64 // time after which a client between commands is disconnected
-	ShedGrace          float64 // time for which a waiting client is not shed; accepting pauses as long if none can be shed
-	PartialShedGrace   float64 // time for which a client that has sent part of a message is not shed
+	ShedGrace          float64 // time for which an idle client is not shed; accepting pauses as long if none can be shed
+	// FirstQueryShedGrace is how long a new client may take to send its first query before it may be shed. It covers the round
+	// trips of the start-up of a client that is far away or busy.
+	FirstQueryShedGrace float64
+	PartialShedGrace    float64 // time for which a client that has sent part of a message is not shed
 	// HiddenCloseGrace is how long a client counts as present while unread input may keep the system from telling its close.
 	HiddenCloseGrace   float64
 	ConnectTimeout     float64 // for opening a backend connection
@@ -203,6 +206,7 @@
 		ScarceStallTimeout:    0.5,
 		IdleTimeout:           5,
 		ShedGrace:             0.01,
+		FirstQueryShedGrace:   0.1,
 		PartialShedGrace:      0.1,
 		HiddenCloseGrace:      0.05,
 		ConnectTimeout:        connectTimeout(settings),
--- a/internal/frontend/drain_test.go
+++ b/internal/frontend/drain_test.go
@@ -65,6 +65,7 @@
 	h := newDrainHarness(t, func(l *config.Limits) {
 		l.Counts.ClientConnections = 2
 		l.Durations.ShedGrace = 0.05
+		l.Durations.FirstQueryShedGrace = 0.05
 	})
 	h.client(pg.AppendStartupMessage(nil))
 	h.client(pg.AppendStartupMessage(nil))
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -105,7 +105,10 @@
 		oldest.Value.(*conn).close()
 		return true
 	}
-	return s.shedFirstOf(&s.silent) || s.shedFirstOf(&s.idle) || s.shedPartial()
+	durations := &s.limits.Durations
+	return s.shedFirstOf(&s.silent, durations.FirstQueryShedGrace) ||
+		s.shedFirstOf(&s.idle, durations.ShedGrace) ||
+		s.shedPartial()
 }
 
 // shedPartial closes, with an error, a connection whose client has been in the middle of a message for PartialShedGrace. If it
@@ -126,12 +129,12 @@
 	return false
 }
 
-// shedFirstOf closes the first connection of a queue that is past its grace period and has no unread input in its socket.
-// It reports whether there was one.
-func (s *Server) shedFirstOf(queue *list.List) bool {
+// shedFirstOf closes the first connection of a queue that has been in it for a grace period and has no unread input in its
+// socket. It reports whether there was one.
+func (s *Server) shedFirstOf(queue *list.List, grace float64) bool {
 	for e := queue.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		if s.loop.Now()-c.queuedAt < s.limits.Durations.ShedGrace {
+		if s.loop.Now()-c.queuedAt < grace {
 			return false
 		}
 		if s.loop.NothingToRead(c.fd) {
--- a/internal/frontend/phase.go
+++ b/internal/frontend/phase.go
@@ -55,7 +55,7 @@
 	// Without this limit, clients that send one query and keep their connection open would exhaust the descriptors of the
 	// client machine long before those of the router.
 	if p == phaseIdle && c.server.idle.Len() > c.server.limits.Counts.IdleClients {
-		c.server.shedFirstOf(&c.server.idle)
+		c.server.shedFirstOf(&c.server.idle, c.server.limits.Durations.ShedGrace)
 	}
 }
 
