A turn does not go on until all waiting commands are rejected

What callers saw: while a primary hangs and 250 clients have sent 700 writes each, the router stands still for up to a second once the first ones are given up.

Cause: a complete reply makes room for the next command of its connection, and that was taken up in the same turn and rejected at once too, and so on until no client had input left.

Change: input that waited for a reply is taken up in the next turn. A turn older than 20 ms (LongTurn) leaves answers and messages that can wait to the next one, so that the router polls in between.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -59,6 +59,7 @@
 	// trips of the start-up of a client that is far away or busy.
 	FirstQueryShedGrace float64
 	PartialShedGrace    float64 // time for which a client that has sent part of a message is not shed
+	LongTurn            float64 // age of a turn from which answers and messages that can wait are left to the next one
 	// HiddenCloseGrace is how long a client counts as present while unread input may keep the system from telling its close.
 	HiddenCloseGrace   float64
 	ConnectTimeout     float64 // for opening a backend connection
@@ -208,6 +209,7 @@
 		ShedGrace:             0.01,
 		FirstQueryShedGrace:   0.1,
 		PartialShedGrace:      0.1,
+		LongTurn:              0.02,
 		HiddenCloseGrace:      0.05,
 		ConnectTimeout:        connectTimeout(settings),
 		HealthCheckTimeout:    settings.ConnectTimeout,
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -38,15 +38,15 @@
 	rejectedQueries   int          // number of queries rejected so far
 
 	// Reasons for which the connection is not read, and the times of its input.
-	awaitsBuffers      bool // the connection is in Server.awaitingBuffers
-	awaitsRoom         bool // the connection is in Server.awaitingRoom
-	hasPendingMessages bool // the connection is in Server.pending
-	arrivals           arrivalLog
-	hiddenClose        hiddenClose
-	hasUnread          bool    // input may wait in the socket
-	unreadSince        float64 // since when hasUnread has been true; until then all input had been read
-	incompleteSince    float64 // since when the first message in the input has been incomplete; 0 if none is incomplete
-	acceptedAt         float64
+	awaitsBuffers   bool // the connection is in Server.awaitingBuffers
+	awaitsRoom      bool // the connection is in Server.awaitingRoom
+	awaitsTurn      bool // the connection is in Server.pending
+	arrivals        arrivalLog
+	hiddenClose     hiddenClose
+	hasUnread       bool    // input may wait in the socket
+	unreadSince     float64 // since when hasUnread has been true; until then all input had been read
+	incompleteSince float64 // since when the first message in the input has been incomplete; 0 if none is incomplete
+	acceptedAt      float64
 
 	// The queue of connections that may be closed to free a descriptor, and the place in it.
 	shedQueue   *list.List    // nil if the connection is in no queue
@@ -119,6 +119,28 @@
 	}
 }
 
+// awaitTurn leaves the rest of the output and of the messages in the input to the next turn.
+func (c *conn) awaitTurn() {
+	if !c.awaitsTurn {
+		c.awaitsTurn = true
+		c.server.pending = append(c.server.pending, c)
+	}
+}
+
+// resume writes and processes what awaitTurn has left.
+func (c *conn) resume() {
+	c.flushDeferred()
+	c.awaitsTurn = false
+	c.processUnlessClosed()
+}
+
+// flushDeferred writes output that awaitTurn has left.
+func (c *conn) flushDeferred() {
+	if c.awaitsTurn && c.state != stateClosed && c.output.Len() > 0 {
+		c.flush()
+	}
+}
+
 func (c *conn) processUnlessClosed() {
 	if c.state != stateClosed {
 		c.process()
@@ -146,8 +168,7 @@
 func (c *conn) processMessages() {
 	for n := 0; c.mayProcessMessage(); n++ {
 		if n == c.server.limits.Counts.MessagesPerTurn {
-			c.hasPendingMessages = true
-			c.server.pending = append(c.server.pending, c)
+			c.awaitTurn()
 			return
 		}
 		if more := c.processMessage(); !more {
@@ -174,7 +195,7 @@
 	if c.state == stateClosing || c.state == stateClosed {
 		return false
 	}
-	return !c.closeAfterReplies && !c.hasPendingMessages && !c.atCapacity()
+	return !c.closeAfterReplies && !c.awaitsTurn && !c.atCapacity()
 }
 
 // atCapacity reports whether the connection has so many outstanding replies or so much unsent output, for itself or for the
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -63,7 +63,7 @@
 // isCutOffByDeadline reports whether the drain deadline has passed while the client has yet to send its first query or
 // the rest of a message. It may send that query to another router.
 func (c *conn) isCutOffByDeadline() bool {
-	if !c.server.deadlinePassed || c.hasPendingMessages {
+	if !c.server.deadlinePassed || c.awaitsTurn {
 		return false
 	}
 	if c.closeAfterReplies || c.hasOutstandingReplies() {
@@ -79,7 +79,7 @@
 		return false
 	case c.closeAfterReplies:
 		return true
-	case c.server.deadlinePassed && !c.hasPendingMessages:
+	case c.server.deadlinePassed && !c.awaitsTurn:
 		return true
 	case c.server.listenerClosed:
 		// Input that waits in the socket was sent in time, and is read next.
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -123,7 +123,7 @@
 			PositionEpoch: 3600, ConnectTimeout: never, StatementWriteTimeout: never, HealthCheckTimeout: never, SilenceTimeout: never, LongPollHold: 1,
 			MinBackoff: never, MaxBackoff: never, MaxClientTimeout: 1000, FirstQueryTimeout: never, MessageTimeout: never,
 			WriteStallTimeout: never, IdleTimeout: never, CloseLinger: never, BackendIdleTimeout: never,
-			HiddenCloseGrace: never,
+			HiddenCloseGrace: never, LongTurn: never,
 		},
 	}
 }
--- a/internal/frontend/phase.go
+++ b/internal/frontend/phase.go
@@ -30,7 +30,7 @@
 		return phaseClosing
 	case c.output.Len() > 0:
 		return phaseWritingAnswer
-	case len(c.replies) > 0 || c.hasPendingMessages || c.closeAfterReplies:
+	case len(c.replies) > 0 || c.awaitsTurn || c.closeAfterReplies:
 		return phaseCommandsInFlight
 	case !c.hasQueried:
 		return phaseAwaitingFirstQuery
--- a/internal/frontend/reply.go
+++ b/internal/frontend/reply.go
@@ -73,6 +73,9 @@
 func (s *Server) Answer(command *dispatcher.Command, row *buffer.Chain) {
 	s.observeAnswer(row)
 	target := command.Owner.(owner)
+	if s.buffers.Scarce() {
+		target.conn.flushDeferred()
+	}
 	if !target.expectsResult() {
 		row.Free()
 		return
@@ -124,7 +127,8 @@
 	}
 }
 
-// sendCompleted sends the replies up to the first that is incomplete, and then processes the input that may have waited.
+// sendCompleted sends the replies up to the first that is incomplete, or leaves them to the next turn if this one has gone on
+// for long. Input that waited for that is processed in the next turn.
 func (c *conn) sendCompleted() {
 	for len(c.replies) > 0 && c.replies[0].complete {
 		first := c.replies[0]
@@ -132,6 +136,20 @@
 		c.replies = c.replies[1:]
 		first.data.MoveTo(&c.output)
 	}
+	if c.server.turnIsLong() && !c.server.buffers.Scarce() {
+		c.awaitTurn()
+		return
+	}
 	c.flush()
+	c.deferInput()
 	c.processUnlessClosed()
 }
+
+// deferInput leaves messages that waited for a reply to the next turn. Otherwise a turn in which commands are rejected would go
+// on until clients have no more input, since each rejection makes room for the next command.
+func (c *conn) deferInput() {
+	mayHoldMessage := c.input.Len() > 0 && c.incompleteSince == 0
+	if mayHoldMessage && c.mayProcessMessage() {
+		c.awaitTurn()
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -85,7 +85,7 @@
 
 	awaitingBuffers []*conn // not read because buffers are scarce
 	awaitingRoom    []*conn // accept no pipelined command because the buffers have no room for its answer
-	pending         []*conn // have unprocessed messages for the next turn
+	pending         []*conn // have output or unprocessed messages for the next turn
 
 	pipelinedInFlight int     // number of incomplete replies that were behind others when their commands arrived
 	answerBlocks      float64 // number of buffer blocks that a large one of the latest answers took
@@ -171,16 +171,27 @@
 // ListenerClosed reports whether a shutdown has closed the listener, so that no new clients are accepted.
 func (s *Server) ListenerClosed() bool { return s.listenerClosed }
 
-// ProcessPending processes messages that remained from the last turn, and resumes reading on connections that waited for
-// buffers. It must be called once per turn. It reports whether messages remain for the next turn, in which case the event
-// loop should not wait.
-func (s *Server) ProcessPending() bool {
+// HasPending reports whether output or messages remain for the next turn, in which case the event loop should not wait.
+func (s *Server) HasPending() bool { return len(s.pending) > 0 }
+
+// turnIsLong reports whether work that can wait should be left to the next turn.
+func (s *Server) turnIsLong() bool {
+	return s.loop.Clock()-s.loop.Now() > s.limits.Durations.LongTurn
+}
+
+// ProcessPending processes output and messages that remained from the last turn, and resumes reading on connections that
+// waited for buffers. It must be called once per turn. Once the turn is long, the rest remains for the next one.
+func (s *Server) ProcessPending() {
 	pending := s.pending
 	s.pending = nil
-	for _, c := range pending {
-		c.hasPendingMessages = false
-		c.processUnlessClosed()
+	for len(pending) > 0 {
+		c := pending[0]
+		pending = pending[1:]
+		c.resume()
+		if s.turnIsLong() {
+			break
+		}
 	}
+	s.pending = append(pending, s.pending...)
 	s.relieveBuffers()
-	return len(s.pending) > 0
 }
--- a/service/service.go
+++ b/service/service.go
@@ -94,9 +94,9 @@
 // afterEvents completes a turn of the event loop after its events have been handled. It returns the time, on the
 // loop's clock, by which the next turn must run.
 func (r *Router) afterEvents(now float64) float64 {
-	unfinished := r.frontend.ProcessPending()
+	r.frontend.ProcessPending()
 	nextTurn := r.dispatcher.RunTurn(now)
-	if unfinished {
+	if r.frontend.HasPending() {
 		nextTurn = now
 	}
 	if r.draining && r.idle() {
