A hanging endpoint leaves descriptors to the others

What callers saw: while hundreds of writes hang at a primary, a read to an idle replica is rejected after half of its timeout, since the router has no descriptor for a connection to it.

Cause: attempts to one endpoint may open connections until no descriptor is left, and the idle connections to others are closed for more of them.

Change: an endpoint with most of the backend connections leaves an eighth of those reserved for backends, and the idle connections, to the others. Its own attempts end as never sent then, as without a descriptor.

Evidence: TestHangingEndpointLeavesDescriptorsToOthers; without the rule all 8 connections go to the hanging endpoint.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -335,6 +335,7 @@
 	}
 	c.state = stateClosed
 	c.pool.connections--
+	c.pool.endpoints[c.endpoint].connections--
 	c.pool.loop.StopTimer(c.timer)
 	c.pool.loop.Close(c.fd)
 	c.input.Free()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -48,6 +48,8 @@
 	idle       []*conn        // ordered by time of last use; the most recently used connection is last
 	connecting []*conn        // connections being opened, each for one attempt or health check
 	generation int            // number of times that the row was released for reuse by another endpoint
+
+	connections int // number of open connections, including those being established
 }
 
 // New returns a Pool without connections that reports results to the given handler.
@@ -90,7 +92,7 @@
 func (p *Pool) Release(index int) {
 	e := &p.endpoints[index]
 	e.closeIdle()
-	*e = endpoint{generation: e.generation + 1, connecting: e.connecting}
+	*e = endpoint{generation: e.generation + 1, connecting: e.connecting, connections: e.connections}
 }
 
 // ResumeReading reads again from the connections that are not read because the buffers were exhausted, if they are not any
@@ -175,7 +177,7 @@
 	if !e.address.IsValid() {
 		return nil, router.ConnectFailed
 	}
-	if !p.hasDescriptor() {
+	if !p.hasDescriptor(e) {
 		return nil, router.NeverSent
 	}
 	p.counters.BackendConnects++
@@ -193,13 +195,21 @@
 		return nil, router.NeverSent
 	}
 	p.connections++
+	e.connections++
 	e.connecting = append(e.connecting, c)
 	return c, router.NeverSent
 }
 
-// hasDescriptor reports whether a descriptor is free for a new connection: one of those reserved for backends or of those
-// shared with clients. If there is none, it closes the connection that has been idle longest to free its descriptor.
-func (p *Pool) hasDescriptor() bool {
+// hasDescriptor reports whether a descriptor is free for a new connection to an endpoint: one of those reserved for backends
+// or of those shared with clients. If there is none, it closes the connection that has been idle longest to free its
+// descriptor. An endpoint that has most of the connections leaves some descriptors, and the idle connections, to the others:
+// if it hangs, attempts to it would otherwise take all.
+func (p *Pool) hasDescriptor(e *endpoint) bool {
+	if e.connections > p.connections/2 {
+		spare := p.limits.Counts.SpareConnections
+		return p.connections < p.limits.Counts.BackendConnections-spare ||
+			p.loop.OpenDescriptors() < p.limits.Counts.SharedDescriptors-spare
+	}
 	return p.connections < p.limits.Counts.BackendConnections ||
 		p.loop.OpenDescriptors() < p.limits.Counts.SharedDescriptors ||
 		p.closeLongestIdle()
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -70,3 +70,25 @@
 	f.pool.CheckHealth(0)
 	assert.Equal(t, []router.Result{router.ConnectFailed}, f.checks, "the row has no address any more")
 }
+
+// Guards against reads that are not sent because attempts to a hanging primary hold all descriptors, and against closing the
+// idle connections to replicas for more such attempts.
+func TestHangingEndpointLeavesDescriptorsToOthers(t *testing.T) {
+	const connections, spare = 8, 2
+	f := newFixture(t)
+	f.pool.limits.Counts.BackendConnections = connections
+	f.pool.limits.Counts.SpareConnections = spare
+	other := listen(t)
+	f.pool.SetAddress(1, netip.MustParseAddrPort(other.Addr().String()), false)
+	f.pool.CheckHealth(1)
+	for range connections {
+		f.send("d=99", distantDeadline)
+	}
+	assert.Equal(t, connections-spare, f.pool.ConnectionCount())
+	assert.Len(t, f.results, connections-(connections-spare-1), "not sent for lack of a descriptor")
+	for range spare {
+		f.pool.CheckHealth(1)
+	}
+	assert.Empty(t, f.checks, "the other endpoint gets the rest")
+	assert.Equal(t, connections, f.pool.ConnectionCount())
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -38,6 +38,7 @@
 	ClientConnections  int // client connections
 	IdleClients        int // client connections between commands
 	BackendConnections int // backend connections; the router may open more while descriptors are free
+	SpareConnections   int // descriptors that an endpoint with most of the backend connections leaves to the others
 }
 
 // Durations are time limits in seconds.
@@ -112,6 +113,7 @@
 	maxCharactersPerByte   = 4        // most characters in which a query or an answer may represent one byte of a value
 	reservedDescriptors    = 24       // descriptors for discovery, the listener and the Go runtime
 	backendDivisor         = 3        // backend connections get 1/backendDivisor of the other descriptors
+	spareDivisor           = 8        // 1/spareDivisor of the backend connections are not for an endpoint that has most of them
 	idleClientDivisor      = 8        // clients between commands may use 1/idleClientDivisor of all descriptors
 )
 
@@ -187,6 +189,7 @@
 		ClientConnections:  shared - backends,
 		IdleClients:        sockets / idleClientDivisor,
 		BackendConnections: backends,
+		SpareConnections:   backends / spareDivisor,
 	}
 }
 
