A hanging primary does not make the replicas of its shard look slow

What callers saw: while hundreds of writes hang at a primary, single reads are rejected after half of their timeout, although the replicas are idle.

Cause: an attempt without an answer counts as one that would have taken longer by the mean at its place in the queue. With places of several hundred the primary's mean grew to 60 to 260 s, and as it counts in the shard's mean, replicas with few answers seemed to need a minute: no read was admitted to them.

Change: what is estimated for attempts at an ejected endpoint stays out of the shard's mean.

Evidence: TestHangingPrimaryDoesNotMakeReplicasSlow fails before.

--- a/internal/router/latency.go
+++ b/internal/router/latency.go
@@ -97,10 +97,13 @@
 	}
 }
 
-// addLatency adds a normalized answer time to the sums of an endpoint and of its shard.
+// addLatency adds a normalized answer time to the sums of an endpoint and of its shard. What is estimated for
+// attempts that an ejected endpoint does not answer tells nothing of the shard's other endpoints.
 func (r *Router) addLatency(e *endpoint, normalized float64, queuePosition int) {
 	r.trafficAt(e).addLatency(normalized, queuePosition)
-	r.trafficOfShard(e.shard).addLatency(normalized, queuePosition)
+	if !e.ejected {
+		r.trafficOfShard(e.shard).addLatency(normalized, queuePosition)
+	}
 }
 
 // learnLatency adds an answer time that a router of earlier settings has normalized to the mean service
--- a/internal/router/latency_test.go
+++ b/internal/router/latency_test.go
@@ -160,3 +160,20 @@
 	assert.InDelta(t, 0.1, r.meanLatency(&r.endpoints[decision.Endpoint]), 0.05)
 	assert.InDelta(t, 0.1, r.fleetServiceTime, 0)
 }
+
+// Guards against reads that no replica gets: what was estimated for hundreds of attempts in the queue of a
+// hanging primary counted as the answer time of its whole shard.
+func TestHangingPrimaryDoesNotMakeReplicasSlow(t *testing.T) {
+	const attempts = 500
+	r := testRouter(t, testConfig())
+	r.fleetLatency, r.fleetServiceTime = 0.05, 0.05
+	primary := &r.endpoints[0]
+	primary.ejected, primary.nextRecoveryAt = true, 20
+	for position := range attempts {
+		elapsed := 2 + r.expectedLatency(primary, position)
+		r.recordLatency(10, &r.groups[writes], primary, &Attempt{queuePosition: position}, elapsed)
+	}
+	decision := r.Route(10, newCommand(eventualReads))
+	assert.Equal(t, Forward, decision.Action)
+	assert.Contains(t, []int{1, 2}, decision.Endpoint)
+}
