A read that tests a hanging endpoint is retried in time

What callers saw: once every few seconds while an endpoint hangs, one read waits for its whole timeout and is rejected.

Cause: the read is sent to find out whether the ejected endpoint answers again, and is retried elsewhere when that has been silent for too long. How long is too long followed from the endpoint's own mean, an estimate from attempts without an answer, which grows to minutes.

Change: of an ejected endpoint as quick an answer is expected as of the fleet.

Evidence: TestRecoveryAttemptAtAHangingEndpointIsRetriedElsewhere fails before.

--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -105,10 +105,15 @@
 
 // silenceTimeout returns how many seconds an endpoint may be silent after an attempt. It leaves room for
 // single lost answers. Its least value is a small share of the objective: where answers are quick, one
-// slow answer means nothing.
+// slow answer means nothing. Of an ejected endpoint, whose own mean is an estimate from attempts without an
+// answer, as quick an answer is expected as of the fleet.
 func (r *Router) silenceTimeout(e *endpoint) float64 {
 	unanswered := float64(max(1, e.unansweredAttempts))
-	mean := cmp.Or(r.meanLatency(e), assumedServiceShare*r.longestObjective)
+	mean := r.meanLatency(e)
+	if e.ejected {
+		mean = min(mean, r.fleetLatency)
+	}
+	mean = cmp.Or(mean, assumedServiceShare*r.longestObjective)
 	// A command that takes a second is not silent among answers of a tenth of a second.
 	mean += max(0, e.unansweredWorkSum/unanswered-cmp.Or(r.fleetServiceTime, mean))
 	return max(latencySlack*r.longestObjective, mean*(1+silenceFactor/unanswered))
--- a/internal/router/health_test.go
+++ b/internal/router/health_test.go
@@ -200,3 +200,21 @@
 	r.HealthChecked(20, 1, Answered, 0.01, 19, false)
 	assert.InDelta(t, 19, r.endpoints[1].position, 1e-3)
 }
+
+// Guards against a read that waits for its whole timeout at a hanging endpoint: it was sent there to find out
+// whether the endpoint answers again, and the endpoint's own mean had grown to minutes while it hung.
+func TestRecoveryAttemptAtAHangingEndpointIsRetriedElsewhere(t *testing.T) {
+	config := testConfig()
+	config.CommandGroups[eventualReads].Idempotency = Idempotent
+	r := testRouter(t, config)
+	r.fleetLatency, r.fleetServiceTime = 0.05, 0.05
+	e := &r.endpoints[1]
+	for range 100 {
+		r.recordLatency(10, &r.groups[writes], e, &Attempt{}, 60)
+	}
+	e.ejected, e.unansweredAttempts, e.unansweredSince, e.inFlight, e.queued = true, 1, 9, 1, 1
+	c := newCommand(eventualReads)
+	c.Attempts, c.routed = []Attempt{{Endpoint: 1, SentAt: 10, InFlight: true}}, true
+	assert.Equal(t, noIndex, r.Route(10.1, c).CancelAttempt, "the endpoint has had little time")
+	assert.Equal(t, 0, r.Route(10.6, c).CancelAttempt)
+}
