What was read behind rejected queries is answered before the connection ends

Cause: at the limit of rejected queries the connection was ended at once and its input freed.

Change: an unknown cluster is rejected but not counted, since the list may be late. At the limit nothing more is read from the client, and all complete messages that were read are answered before the end.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -36,6 +36,7 @@
 	hasQueried        bool         // the client has sent a query that is empty or has a valid routing comment
 	closeAfterReplies bool         // the connection ends once the outstanding replies are written
 	rejectedQueries   int          // number of queries rejected so far
+	readsNoMore       bool         // the connection ends once the messages in the input are answered
 
 	// Reasons for which the connection is not read, and the times of its input.
 	awaitsBuffers   bool // the connection is in Server.awaitingBuffers
@@ -172,6 +173,7 @@
 			return
 		}
 		if more := c.processMessage(); !more {
+			c.endInput()
 			return
 		}
 		c.phase = phaseUnset // so that the next message gets its own timeout
@@ -179,6 +181,15 @@
 	}
 }
 
+// endInput ends the connection after the outstanding replies if nothing more is read from it. All complete messages must have
+// been processed.
+func (c *conn) endInput() {
+	if c.readsNoMore && c.state != stateClosed {
+		c.closeAfterReplies = true
+		c.input.Free()
+	}
+}
+
 // trackIncompleteMessage records since when the first message in the input has been incomplete. Its timeout also runs
 // while replies to earlier commands are outstanding.
 func (c *conn) trackIncompleteMessage() {
@@ -224,7 +235,7 @@
 
 // wantsInput reports whether the connection should read input now.
 func (c *conn) wantsInput() bool {
-	if c.awaitsBuffers || c.server.deadlinePassed {
+	if c.awaitsBuffers || c.readsNoMore || c.server.deadlinePassed {
 		return false
 	}
 	return c.mayProcessMessage() || c.mayReadAhead()
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -14,6 +14,8 @@
 type rejection struct {
 	code    string // SQLSTATE
 	message string
+	// mayBecomeValid is true if the query is at fault only by what this router knows now.
+	mayBecomeValid bool
 }
 
 // invalidValue returns a rejection for an invalid value in the comment of a query.
@@ -55,7 +57,9 @@
 	}
 	shard, ok := s.dispatcher.LookupShard(statement.Shard)
 	if !ok {
-		return nil, invalidValue("cluster=%d: unknown cluster", statement.Shard)
+		rejected := invalidValue("cluster=%d: unknown cluster", statement.Shard)
+		rejected.mayBecomeValid = true // the endpoint list may be late
+		return nil, rejected
 	}
 	if rejected := s.checkStatement(statement, group); rejected != nil {
 		return nil, rejected
@@ -106,14 +110,16 @@
 	c.server.dispatcher.Submit(command)
 }
 
-// rejectQuery sends a rejection to the client. It ends the connection after InvalidQueries rejections. Otherwise a client
-// that repeats a query as soon as it is rejected would keep the router busy.
+// rejectQuery sends a rejection to the client. After InvalidQueries rejections it reads nothing more from the client, and the
+// connection ends once all that has been read is answered. Otherwise a client that repeats a query as soon as it is rejected
+// would keep the router busy.
 func (c *conn) rejectQuery(rejected *rejection) {
-	c.rejectedQueries++
+	c.server.counters.InvalidQueries++
+	if !rejected.mayBecomeValid {
+		c.rejectedQueries++
+	}
 	if c.rejectedQueries >= c.server.limits.Counts.InvalidQueries {
-		c.protocolError(rejected.code, rejected.message)
-		return
+		c.readsNoMore = true
 	}
-	c.server.counters.InvalidQueries++
 	c.send(pg.AppendReadyForQuery(pg.AppendErrorResponse(nil, false, rejected.code, rejected.message, "")))
 }
