Clients that stay are served soon after a crowd that left early

What callers saw: once over half of a group's clients have left sooner than its commands are answered, all its commands are rejected at once, also those of clients that stay, for some ten seconds at objectives of 4 s.

Cause: the share of early leavers falls by answers and by time. While everything is rejected there are no answers, so only time is left.

Change: while the share is above its threshold, one command in each service time is sent as if clients stayed. What comes of it, an answer or a client that has left, moves the share.

Evidence: TestClientsThatStayAreServedAfterACrowdThatLeftEarly and TestFewCommandsSampleThePatienceOfClients fail before: none of 80 commands in 4 s was sent.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -44,13 +44,23 @@
 // usefulUntil returns until when an answer has a value, in seconds. If late answers keep a share of their
 // value, the time after the objective counts by that share.
 func (r *Router) usefulUntil(c *Command, g *group) float64 {
-	if g.earlyLeaveShare > earlyLeaveThreshold {
+	if g.earlyLeaveShare > earlyLeaveThreshold && !c.patient {
 		return min(c.ArrivedAt+min(g.LatencyObjective, g.earlyLeaveDelay), c.ClientDeadline)
 	}
 	objectiveEnd := c.ArrivedAt + g.LatencyObjective
 	return min(objectiveEnd+g.LateValue*max(0, c.ClientDeadline-objectiveEnd), c.ClientDeadline)
 }
 
+// samplesPatience reports whether a new command is sent as if no client of its group left early. One such
+// command in each service time shows whether clients still do; if all were rejected, no answer would.
+func (r *Router) samplesPatience(now float64, g *group) bool {
+	if g.earlyLeaveShare <= earlyLeaveThreshold || now-g.patienceSampledAt < g.serviceTime {
+		return false
+	}
+	g.patienceSampledAt = now
+	return true
+}
+
 // giveUp returns the final decision on a command without an answer: Reject if a retry by the client does
 // no harm, otherwise Fail.
 func (r *Router) giveUp(now float64, c *Command, g *group) Decision {
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // The worst-served group gets extra weight in the proportion that the configuration gives it against all
@@ -132,3 +133,46 @@
 	g.earlyLeaveShare = 0.6
 	assert.InDelta(t, 10.01, r.usefulUntil(newCommand(eventualReads), g), 0)
 }
+
+// Guards against a group whose commands are all rejected for seconds after a crowd of impatient clients: they had left
+// sooner than any endpoint answers, and without answers nothing showed that others stay.
+func TestClientsThatStayAreServedAfterACrowdThatLeftEarly(t *testing.T) {
+	const crowd, commands, interval, leaveDelay, serviceTime = 100, 100, 0.05, 0.01, 0.04
+	const recovered = 80 // commands after which all are served
+	r := testRouter(t, testConfig())
+	g := &r.groups[eventualReads]
+	g.serviceTime = serviceTime
+	for range crowd {
+		r.ClientGone(10+leaveDelay, newCommand(eventualReads))
+	}
+	require.Greater(t, g.earlyLeaveShare, 0.9)
+	for i := range commands {
+		c := newCommand(eventualReads)
+		c.ArrivedAt += interval * float64(i+1)
+		c.ClientDeadline += interval * float64(i+1)
+		if r.Route(c.ArrivedAt, c).Action != Forward {
+			require.Less(t, i, recovered)
+			continue
+		}
+		r.AttemptEnded(c.ArrivedAt+serviceTime, c, AttemptResult{Result: Answered, Elapsed: serviceTime, Position: -1, Final: true})
+	}
+	assert.Less(t, g.earlyLeaveShare, earlyLeaveThreshold)
+}
+
+// While clients leave early, only one command in each service time is sent as if they stayed.
+func TestFewCommandsSampleThePatienceOfClients(t *testing.T) {
+	const commands, serviceTime = 100, 0.04
+	r := testRouter(t, testConfig())
+	g := &r.groups[eventualReads]
+	g.serviceTime, g.earlyLeaveShare, g.earlyLeaveDelay = serviceTime, 0.9, 0.01
+	sent := 0
+	for i := range commands {
+		now := 10 + serviceTime*2*float64(i)/commands
+		c := newCommand(eventualReads)
+		c.ArrivedAt = now
+		if r.Route(now, c).Action == Forward {
+			sent++
+		}
+	}
+	assert.Equal(t, 2, sent)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,7 +66,7 @@
 // new command, and again at Decision.ReviewAt, also while an attempt is in flight.
 func (r *Router) Route(now float64, c *Command) Decision {
 	g := &r.groups[c.Group]
-	r.countArrival(c, g)
+	r.countArrival(now, c, g)
 	if k := slices.IndexFunc(c.Attempts, func(a Attempt) bool { return a.InFlight }); k >= 0 {
 		return r.reviewAttempt(now, c, g, k)
 	}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -26,6 +26,7 @@
 	batchEndedAt      float64 // when the last complete batch ended; 0 if none is complete
 	earlyLeaveShare   float64 // share of clients that disconnect before their timeout
 	earlyLeaveDelay   float64 // mean time from a command's arrival until such a client disconnects
+	patienceSampledAt float64 // when samplesPatience last chose a command
 	tailFactor        float64 // mean ratio of answer times to the answer times expected from the queues
 	queueLimit        float64 // longest queueing time at a replica that its commands may join
 	primaryQueueLimit float64 // longest queueing time at a primary that its commands may join
@@ -39,6 +40,7 @@
 	return group{
 		CommandGroup: g, tailFactor: 1, fairnessWeight: 1,
 		queueLimit: g.LatencyObjective, primaryQueueLimit: g.LatencyObjective,
+		patienceSampledAt: math.Inf(-1),
 	}
 }
 
@@ -135,13 +137,14 @@
 }
 
 // countArrival counts a command when Route is called for it for the first time.
-func (r *Router) countArrival(c *Command, g *group) {
+func (r *Router) countArrival(now float64, c *Command, g *group) {
 	if c.routed {
 		return
 	}
 	c.routed = true
 	c.requiredPosition = math.Inf(-1)
 	r.commandCount++
+	c.patient = r.samplesPatience(now, g)
 	if !c.ClientRetry {
 		g.arrivalCount++
 	}
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -120,6 +120,7 @@
 	firstUncertainAt       float64 // when the first of the uncertainRuns was sent, in seconds
 	firstUncertainEndpoint int     // index of the endpoint that got the first of the uncertainRuns
 	routed                 bool    // Route has been called for it
+	patient                bool    // earlyLeaveDelay does not apply to it; see samplesPatience
 	requiredPosition       float64 // log position that a replica must have applied, as a time in seconds
 	tooStale               bool    // a replica has rejected this read (NotServed)
 }
