Each phase of a turn is timed by itself, and takes up no more when it is long

Found by reading again, before it landed: a turn counted as long from its poll on. Where handling the events alone takes longer than 20 ms, every answer was left to the next turn, and that turn wrote one.

Change: the time is taken once for the events and once for what follows. Connections that waited resume in the next turn, within its time. A connection takes up one message only where the turn is long.

Evidence: TestAnswersAreNotHeldUpByTurnsWithManyEvents takes over 20 turns for 40 answers with the earlier rule, and at most 10 now.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -60,7 +60,9 @@
 	// trips of the start-up of a client that is far away or busy.
 	FirstQueryShedGrace float64
 	PartialShedGrace    float64 // time for which a client that has sent part of a message is not shed
-	LongTurn            float64 // age of a turn from which answers and messages that can wait are left to the next one
+	// LongTurn is how long a turn deals with answers and messages that can wait for the next one, once while it handles events
+	// and once after that.
+	LongTurn float64
 	// HiddenCloseGrace is how long a client counts as present while unread input may keep the system from telling its close.
 	HiddenCloseGrace   float64
 	ConnectTimeout     float64 // for opening a backend connection
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -164,11 +164,11 @@
 	}
 }
 
-// processMessages processes the complete messages in the input, at most MessagesPerTurn of them, so that other clients are
-// served in the same turn.
+// processMessages processes the complete messages in the input, at most MessagesPerTurn of them and one if the turn is long, so
+// that other clients are served in the same turn.
 func (c *conn) processMessages() {
 	for n := 0; c.mayProcessMessage(); n++ {
-		if n == c.server.limits.Counts.MessagesPerTurn {
+		if n == c.server.limits.Counts.MessagesPerTurn || n > 0 && c.server.turnIsLong() {
 			c.awaitTurn()
 			return
 		}
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -40,7 +40,7 @@
 	return o.conn.replies[0] == o.reply && o.conn.output.Len() == 0
 }
 
-// relieveBuffers closes stalled connections if buffers are scarce, and resumes connections that waited for buffers.
+// relieveBuffers closes stalled connections if buffers are scarce. Connections that waited for buffers resume in the next turn.
 func (s *Server) relieveBuffers() {
 	s.shedStalled()
 	if !s.buffers.Scarce() {
@@ -48,7 +48,7 @@
 		s.awaitingBuffers = nil
 		for _, c := range waiting {
 			c.awaitsBuffers = false
-			c.processUnlessClosed()
+			c.awaitTurn()
 		}
 	}
 	if s.mayPipeline() {
@@ -56,7 +56,7 @@
 		s.awaitingRoom = nil
 		for _, c := range waiting {
 			c.awaitsRoom = false
-			c.processUnlessClosed() // it waits again if those before it have taken the room
+			c.awaitTurn() // it waits again if those before it have taken the room
 		}
 	}
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -87,6 +87,8 @@
 	awaitingRoom    []*conn // accept no pipelined command because the buffers have no room for its answer
 	pending         []*conn // have output or unprocessed messages for the next turn
 
+	pendingStartedAt float64 // when this turn's call of ProcessPending began, on the loop's clock
+
 	pipelinedInFlight int     // number of incomplete replies that were behind others when their commands arrived
 	answerBlocks      float64 // number of buffer blocks that a large one of the latest answers took
 
@@ -174,14 +176,17 @@
 // HasPending reports whether output or messages remain for the next turn, in which case the event loop should not wait.
 func (s *Server) HasPending() bool { return len(s.pending) > 0 }
 
-// turnIsLong reports whether work that can wait should be left to the next turn.
+// turnIsLong reports whether work that can wait should be left to the next turn. The handling of events and what follows it
+// are timed apart: however long the events take, each turn has time for answers.
 func (s *Server) turnIsLong() bool {
-	return s.loop.Clock()-s.loop.Now() > s.limits.Durations.LongTurn
+	startedAt := max(s.loop.Now(), s.pendingStartedAt)
+	return s.loop.Clock()-startedAt > s.limits.Durations.LongTurn
 }
 
 // ProcessPending processes output and messages that remained from the last turn, and resumes reading on connections that
 // waited for buffers. It must be called once per turn. Once the turn is long, the rest remains for the next one.
 func (s *Server) ProcessPending() {
+	s.pendingStartedAt = s.loop.Clock()
 	pending := s.pending
 	s.pending = nil
 	for len(pending) > 0 {
--- a/internal/frontend/turn_test.go
+++ b/internal/frontend/turn_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"stoatdale.example/stoatdale/internal/config"
 	"stoatdale.example/stoatdale/internal/endpoint"
@@ -67,3 +70,37 @@
 		assert.Equal(t, commands, strings.Count(h.readAll(received), pg.CodeTooManyConnections))
 	}
 }
+
+// Guards against a router that hardly answers any more because handling the events of each turn takes long.
+func TestAnswersAreNotHeldUpByTurnsWithManyEvents(t *testing.T) {
+	const clients, mostTurns = 40, 10
+	const longTurn = 5 * time.Millisecond
+	h := newHarness(t, func(l *config.Limits) {
+		l.Counts.ClientConnections = clients
+		l.Durations.LongTurn = longTurn.Seconds()
+	})
+	h.publishState(endpoint.StateDraining)
+	var conns []net.Conn
+	for range clients {
+		conn, _ := h.client(pg.AppendStartupMessage(nil))
+		conns = append(conns, conn)
+	}
+	h.runUntil(func() bool { return h.server.silent.Len() == clients })
+	for client, conn := range conns {
+		_, err := conn.Write(query(fmt.Sprintf("a%02x", client), "c=order,d=1,k=5c"))
+		require.NoError(t, err)
+	}
+	turns := 0
+	require.NoError(t, h.loop.Run(func(now float64) float64 {
+		turns++
+		time.Sleep(2 * longTurn) // as if for the events of this turn
+		h.server.ProcessPending()
+		h.dispatcher.RunTurn(now)
+		answered := h.counters.Rejected == clients && !h.server.HasPending()
+		if answered || turns == 2*mostTurns {
+			h.loop.Stop()
+		}
+		return now
+	}))
+	assert.LessOrEqual(t, turns, mostTurns)
+}
